--- a/src/control.rs
+++ b/src/control.rs
@@ -19,6 +19,7 @@
 mod formation;
 mod machine;
 mod message;
+mod read;
 mod replica;
 mod sign;
 mod status;
@@ -27,6 +28,7 @@
 
 use feed::{Feed, Report};
 use formation::Formation;
+use read::PendingRead;
 use submit::Waiter;
 
 pub use machine::{Change, HORIZON, Machine, Past, Request};
@@ -41,10 +43,16 @@
 
 /// Entries after which a snapshot is taken.
 const SNAPSHOT_PERIOD: u64 = 1_000;
+/// Bytes of configurations after which a snapshot is taken: the log in memory and on disk stays
+/// a few times as long.
+const SNAPSHOT_LEN: usize = 1 << 20;
 /// Entries before a snapshot that are kept for replicas that are a little behind.
 const SNAPSHOT_KEEP: u64 = 500;
-/// Time after which a forwarded submission or report is given up.
-const FORWARD_LIMIT: Duration = Duration::from_millis(1_000);
+/// Entries that are kept where they are large.
+const SNAPSHOT_KEEP_LARGE: u64 = 8;
+/// Time after which a forwarded submission, read or report is given up: callers of a control VM
+/// go on to the next one after a second.
+const FORWARD_LIMIT: Duration = Duration::from_millis(800);
 
 /// What reaches a control node.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -72,6 +80,11 @@
         /// The report.
         progress: Progress,
     },
+    /// A caller asks whether the configuration here is the newest.
+    Read {
+        /// Names the waiting caller.
+        ticket: u64,
+    },
     /// Time has passed.
     Tick,
 }
@@ -96,6 +109,14 @@
         /// What became of it.
         fate: Fate,
     },
+    /// Answers a read.
+    Readable {
+        /// Names the waiting caller.
+        ticket: u64,
+        /// Whether the configuration here is at least as new as any that was acknowledged before
+        /// the read.
+        fresh: bool,
+    },
     /// Answers a report.
     Entries {
         /// Names the waiting caller.
@@ -155,6 +176,9 @@
     waiting: BTreeMap<u64, Waiter>,
     forwards: BTreeMap<u64, Time>,
     reports: BTreeMap<u64, Report>,
+    reads: Vec<PendingRead>,
+    /// Bytes of configurations applied since the last snapshot.
+    grown: usize,
     acks: Acks,
     mover: Mover,
     leading: Option<u64>,
@@ -185,6 +209,8 @@
             waiting: BTreeMap::new(),
             forwards: BTreeMap::new(),
             reports: BTreeMap::new(),
+            reads: Vec::new(),
+            grown: 0,
             acks: Acks::with_start(now, 0),
             mover: Mover::new(),
             leading: None,
@@ -194,6 +220,22 @@
         Ok(node)
     }
 
+    /// Returns the node where it may not make a log of its own, only join the others' one: its
+    /// data folder was lost, or it came later.
+    #[must_use]
+    pub fn with_joining(mut self) -> ControlNode {
+        self.formation = self.formation.with_joining();
+        self
+    }
+
+    /// Returns the node where `count` voters are wanted: an observer takes the place of one that
+    /// is lost.
+    #[must_use]
+    pub fn with_voters(mut self, count: usize) -> ControlNode {
+        self.replica = self.replica.with_voters(count);
+        self
+    }
+
     /// Returns the replica of the log.
     pub fn replica(&self) -> &Replica {
         &self.replica
@@ -220,12 +262,30 @@
         if self.replica.lease(now).is_some() {
             return Ok(&self.machine);
         }
+        Err(self.unsure())
+    }
+
+    /// Returns what is in force as far as this VM knows: what [`ControlAction::Readable`] speaks
+    /// of.
+    pub fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    /// Returns the error of a read that this VM cannot answer; it names the leader, where one is
+    /// known.
+    #[cold]
+    pub fn unsure(&self) -> Error {
         let leader = self.leader().filter(|seat| seat.name != self.seat.name);
         let message = match leader {
             Some(seat) => format!("{} leads; ask it at {}", seat.name, seat.addr),
             None => "no leader can be reached; try another control VM, or again later".into(),
         };
-        Err(Error::unavailable(message))
+        Error::unavailable(message)
+    }
+
+    /// Returns whether this VM has heard lately that nothing newer than what it has is in force.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        self.applied == self.replica.commit() && self.replica.is_near(now)
     }
 
     /// Returns the leader, where one is known.
@@ -250,14 +310,21 @@
                 self.counters.add(Counter::SyncsFailed, 1);
                 self.replica.fail();
             }
-            ControlEvent::Recovered(recovered) => self.replica = Replica::new(now, recovered),
+            ControlEvent::Recovered(recovered) => {
+                let voters = self.replica.voters();
+                self.replica = Replica::new(now, recovered).with_voters(voters);
+            }
             ControlEvent::Message(envelope) => self.message(now, envelope, &mut actions, out),
             ControlEvent::Progress { ticket, progress } => {
                 self.progress(now, ticket, progress, out);
             }
+            ControlEvent::Read { ticket } => {
+                self.start_read(now, ticket, None, &mut actions, out);
+            }
             ControlEvent::Tick => self.tick(now, &mut actions, out),
         }
         self.settle(now, &mut actions, out);
+        self.settle_reads(now, out);
         for action in actions {
             match action {
                 ReplicaAction::Write(write) => out.push(ControlAction::Write(write)),
@@ -300,10 +367,14 @@
         out: &mut Vec<ControlAction>,
     ) {
         let me = self.replica.me();
-        if self.replica.is_halted() || self.replica.members().seat(me).is_some() {
+        // A member without a leader may have been replaced while it was out of reach.
+        let followed = self.replica.leader().is_some();
+        let member = self.replica.members().seat(me).is_some();
+        if self.replica.is_halted() || (member && followed) {
             return;
         }
-        for to in self.formation.probes(now, &self.seat) {
+        let members = self.replica.members().all().map(|(_, seat)| seat.addr).collect();
+        for to in self.formation.probes(now, &self.seat, members) {
             let envelope = self.envelope(None, ControlMessage::Probe);
             out.push(ControlAction::Send { to, envelope });
         }
@@ -350,6 +421,10 @@
                 self.report(now, from, ticket, &progress, out);
             }
             ControlMessage::Noted { ticket, least } => self.noted(ticket, least, out),
+            ControlMessage::ReadAsk { ticket } => {
+                self.start_read(now, ticket, Some(from), actions, out);
+            }
+            ControlMessage::ReadAt { ticket, index } => self.read_at(ticket, index, out),
         }
     }
 
@@ -375,6 +450,7 @@
             let outcome = match &entry.payload {
                 Payload::Change(change) => {
                     let (outcome, fed) = self.machine.apply(change);
+                    self.grown += change.command.len();
                     if fed {
                         self.feed.push(change.command.clone());
                     }
@@ -390,12 +466,15 @@
 
     fn compact(&mut self, actions: &mut Vec<ReplicaAction>) {
         let last = self.replica.snapshot().mark.index;
-        if self.applied < last + SNAPSHOT_PERIOD || self.replica.is_halted() {
+        let due = self.applied >= last + SNAPSHOT_PERIOD || self.grown >= SNAPSHOT_LEN;
+        if !due || self.replica.is_halted() {
             return;
         }
+        let keep = if self.grown >= SNAPSHOT_LEN { SNAPSHOT_KEEP_LARGE } else { SNAPSHOT_KEEP };
+        self.grown = 0;
         if let Ok(data) = postcard::to_stdvec(&self.machine) {
             self.counters.add(Counter::SnapshotsTaken, 1);
-            self.replica.compact(self.applied, data, SNAPSHOT_KEEP, actions);
+            self.replica.compact(self.applied, data, keep, actions);
         }
     }
 
--- a/src/control/formation.rs
+++ b/src/control/formation.rs
@@ -36,19 +36,32 @@
         Formation { voters, free: BTreeMap::new(), formed: false, due: Time::ZERO }
     }
 
+    /// Returns the formation of a replica that makes no log itself.
+    pub(crate) fn with_joining(mut self) -> Formation {
+        self.formed = true;
+        self
+    }
+
     /// Returns the names of the control VMs that are to have a voter.
     pub(crate) fn names(&self) -> BTreeSet<Name> {
         self.voters.keys().cloned().collect()
     }
 
-    /// Returns where to probe now.
-    pub(crate) fn probes(&mut self, now: Time, me: &Seat) -> Vec<SocketAddr> {
+    /// Returns where to probe now: the voters of the settings and `members`, those of the log.
+    pub(crate) fn probes(
+        &mut self,
+        now: Time,
+        me: &Seat,
+        members: BTreeSet<SocketAddr>,
+    ) -> Vec<SocketAddr> {
         if now < self.due {
             return Vec::new();
         }
         self.due = now + PROBE_PERIOD;
-        let others = self.voters.iter().filter(|(name, _)| **name != me.name);
-        others.map(|(_, addr)| *addr).collect()
+        let mut targets = members;
+        targets.extend(self.voters.values());
+        targets.remove(&me.addr);
+        targets.into_iter().collect()
     }
 
     /// Takes over an answer to a probe.
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -97,6 +97,18 @@
         /// Index that a VM must have applied for its lease.
         least: u64,
     },
+    /// A follower asks the leader from which index on a read is up to date.
+    ReadAsk {
+        /// Names the read at the follower.
+        ticket: u64,
+    },
+    /// The answer to [`ControlMessage::ReadAsk`].
+    ReadAt {
+        /// Names the read at the follower.
+        ticket: u64,
+        /// The index, or `None` where the sender cannot be sure.
+        index: Option<u64>,
+    },
 }
 
 /// A message with its sender and receiver.
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -127,6 +127,8 @@
     sent: Time,
     durable: Durable,
     halted: bool,
+    /// Voters that are wanted, or 0 where only named ones vote.
+    voters: usize,
 }
 
 impl Replica {
@@ -154,6 +156,7 @@
             matched: 0,
             sent: Time::ZERO,
             halted: false,
+            voters: 0,
         };
         replica.find_members();
         replica.rest(now);
@@ -161,6 +164,18 @@
         replica
     }
 
+    /// Returns the replica where `count` voters are wanted, whoever they are.
+    #[must_use]
+    pub fn with_voters(mut self, count: usize) -> Replica {
+        self.voters = count;
+        self
+    }
+
+    /// Returns how many voters are wanted, or 0 where only named ones vote.
+    pub fn voters(&self) -> usize {
+        self.voters
+    }
+
     /// Returns the replica's identity.
     pub fn me(&self) -> Identity {
         self.me
@@ -231,6 +246,25 @@
         (fresh && self.commit >= lead.start && !self.halted).then_some(lead.since)
     }
 
+    /// Returns whether this replica leads under a lease, or has heard its leader lately.
+    pub fn is_near(&self, now: Time) -> bool {
+        let heard = self.leader.is_some() && now.since(self.heard) < ELECTION;
+        if self.is_leader() { self.lease(now).is_some() } else { heard && !self.halted }
+    }
+
+    /// Returns the time after which no other replica had begun to lead, as a quorum has confirmed
+    /// to this leader; `None` where it does not lead or lacks entries of before its term.
+    pub fn confirmed(&self, now: Time) -> Option<Time> {
+        let Role::Leader(lead) = &self.role else { return None };
+        let known = self.commit >= lead.start && !self.halted;
+        known.then(|| lead.confirmed(now, self.me, &self.members))
+    }
+
+    /// Asks every replica, as the leader, to confirm that it still leads.
+    pub fn confirm(&mut self, now: Time, out: &mut Actions) {
+        self.broadcast(now, out);
+    }
+
     /// Makes the first entry of a new log, with its voters.
     ///
     /// Does nothing where there is a log already.
--- a/src/control/replica/change.rs
+++ b/src/control/replica/change.rs
@@ -186,6 +186,7 @@
             let same = self.members.voters.iter().find(|(_, voter)| voter.name == seat.name);
             let free = match same {
                 Some((&voter, _)) => voter != self.me && !lead.is_near(now, voter),
+                None if self.voters > 0 => self.lacks_voter(now, lead),
                 None => wanted.contains(&seat.name),
             };
             let held = lead.peers.get(&replica).is_some_and(|peer| peer.matched >= self.commit);
@@ -199,7 +200,20 @@
         Some(members)
     }
 
-    /// Returns the members without a voter that another voter of its control VM has replaced.
+    /// Returns whether fewer voters than wanted are left, without those that are lost.
+    fn lacks_voter(&self, now: Time, lead: &Lead) -> bool {
+        let left = |voter: &&Identity| **voter == self.me || !lead.is_lost(now, **voter);
+        self.members.voters.keys().filter(left).count() < self.voters
+    }
+
+    /// Returns a voter that is lost while the others are as many as wanted.
+    fn lost(&self, now: Time, lead: &Lead) -> Option<Identity> {
+        let over = self.voters > 0 && self.members.voters.len() > self.voters;
+        let lost = |voter: &&Identity| **voter != self.me && lead.is_lost(now, **voter);
+        self.members.voters.keys().find(lost).copied().filter(|_| over)
+    }
+
+    /// Returns the members without a voter that another voter has replaced.
     fn leaving(&self, now: Time, lead: &Lead) -> Option<Members> {
         let replaced = |replica: Identity, seat: &Seat| {
             let mut others = self.members.voters.iter().filter(|(other, _)| **other != replica);
@@ -209,8 +223,8 @@
                     voter.name == seat.name && (*other == self.me || lead.is_near(now, *other))
                 })
         };
-        let (&replica, _) =
-            self.members.voters.iter().find(|(replica, seat)| replaced(**replica, seat))?;
+        let same = self.members.voters.iter().find(|(replica, seat)| replaced(**replica, seat));
+        let replica = same.map(|(&replica, _)| replica).or_else(|| self.lost(now, lead))?;
         let mut members = self.members.clone();
         members.voters.remove(&replica);
         Some(members)
--- a/src/control/replica/lead.rs
+++ b/src/control/replica/lead.rs
@@ -9,6 +9,9 @@
 
 /// Time without an answer after which a voter counts as out of reach.
 const REACH: Duration = super::ELECTION;
+/// Time without an answer after which an observer takes a voter's place: longer than a restart,
+/// short enough that the next loss finds a whole set of voters.
+const LOST: Duration = Duration::from_millis(4_000);
 /// Time without an answer after which a learner counts as out of reach.
 const LEARNER_REACH: Duration = Duration::from_millis(5_000);
 /// Replicas that may wait to be taken in.
@@ -79,6 +82,12 @@
         self.peers.get(&replica).is_some_and(|peer| now.since(peer.heard) < REACH)
     }
 
+    /// Returns whether the voter `replica` has been silent for so long that another may replace
+    /// it.
+    pub(crate) fn is_lost(&self, now: Time, replica: Identity) -> bool {
+        self.peers.get(&replica).is_some_and(|peer| now.since(peer.heard) >= LOST)
+    }
+
     /// Returns whether `replica` has answered as lately as a learner has to.
     pub(crate) fn is_present(&self, now: Time, replica: Identity) -> bool {
         self.peers.get(&replica).is_some_and(|peer| now.since(peer.heard) < LEARNER_REACH)
--- /dev/null
+++ b/src/cookie.rs
@@ -0,0 +1,21 @@
+//! Forwarding by flow cookies: each packet of a flow carries the tag of its backend server, so
+//! that any entry VM sends it on without a table, an owner or a lease.
+//!
+//! Control VMs keep the backend servers as soft state ([`Registry`]) and feed it, with the
+//! configuration, to entry VMs, whose [`Forwarder`] decides on each packet.
+
+mod balance;
+mod directory;
+mod evidence;
+mod feed;
+mod forwarder;
+mod notes;
+mod record;
+mod registry;
+
+pub use balance::{Candidate, choose};
+pub use directory::{Directory, Usable};
+pub use feed::{ControlSeat, FeedMessage, Gossip, Plan};
+pub use forwarder::{DropReason, FlowVerdict, Forwarder, Head};
+pub use record::{Announcement, ServerRecord, ServerState, tag};
+pub use registry::{Heard, Registry};
--- /dev/null
+++ b/src/cookie/forwarder.rs
@@ -0,0 +1,282 @@
+//! The decision on each packet of a flow, without a socket or a clock.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{
+    balance::{Candidate, choose},
+    directory::{Directory, Usable},
+    evidence::Evidence,
+    feed::{FeedMessage, Plan},
+    notes::{Ends, Note, Notes},
+    record::{ServerState, tag},
+};
+use crate::{member::hash, name::Name, time::Time, whole::Route};
+
+/// Time without a packet after which a flow that never opened is forgotten: a caller repeats its
+/// opening for less.
+const OPENING: Duration = Duration::from_secs(2);
+/// Time between two sweeps of what is old.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// What the forwarder needs of a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Head {
+    /// The caller.
+    pub caller: SocketAddrV4,
+    /// The route's address and port.
+    pub route: SocketAddrV4,
+    /// Whether the packet opens a flow.
+    pub opens: bool,
+    /// How often the opening was sent before.
+    pub repeats: u32,
+    /// Whether the packet ends the flow from the caller's side.
+    pub ends: bool,
+    /// Cookie that the caller returns, 0 for none.
+    pub cookie: u32,
+}
+
+/// Why a packet was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DropReason {
+    /// Its cookie stands for no server that is known.
+    Unknown,
+    /// It carries no cookie.
+    NoCookie,
+    /// It has waited while the VM stood still, and the caller has gone on.
+    Stale,
+    /// This VM has no configuration yet.
+    Early,
+}
+
+/// What to do with a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FlowVerdict {
+    /// Sends it to a server under a cookie.
+    Forward {
+        /// Where the server takes packets.
+        to: SocketAddrV4,
+        /// Number of the server.
+        id: u64,
+        /// Cookie of the server.
+        cookie: u32,
+    },
+    /// Resets the flow, so that the caller goes on elsewhere at once.
+    Reset,
+    /// Drops it.
+    Drop(DropReason),
+}
+
+/// The packet path of an entry VM.
+pub struct Forwarder {
+    zone: Name,
+    plan: Arc<Plan>,
+    routes: BTreeMap<SocketAddrV4, Route>,
+    directory: Directory,
+    evidence: Evidence,
+    notes: Notes,
+    /// Time between two announcements of a server.
+    period: Duration,
+    swept: Time,
+}
+
+impl Forwarder {
+    /// Returns the forwarder of a VM in `zone`, before servers that announce themselves once a
+    /// `period`.
+    pub fn new(zone: Name, period: Duration) -> Forwarder {
+        Forwarder {
+            zone,
+            plan: Arc::default(),
+            routes: BTreeMap::new(),
+            directory: Directory::new(period),
+            evidence: Evidence::default(),
+            notes: Notes::default(),
+            period,
+            swept: Time::ZERO,
+        }
+    }
+
+    /// Returns the plan in force.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Returns the backend servers.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Returns how many flows were seen lately.
+    pub fn flows(&self) -> usize {
+        self.notes.len()
+    }
+
+    /// Takes over a message of the control VM at `source`.
+    pub fn fed(&mut self, now: Time, source: SocketAddr, message: FeedMessage) {
+        match message {
+            FeedMessage::Beat { age, .. } => self.directory.beat(source, age),
+            FeedMessage::Plan(plan) => self.take_plan(now, plan),
+            FeedMessage::Servers { all, records } => {
+                self.directory.learn(now, source, all, records);
+            }
+        }
+    }
+
+    /// Takes over that a control VM cannot be reached.
+    pub fn lose(&mut self, source: SocketAddr) {
+        self.directory.lose(source);
+    }
+
+    /// Puts a plan in force unless it is older than the one that is.
+    fn take_plan(&mut self, now: Time, plan: Arc<Plan>) {
+        if plan.index <= self.plan.index {
+            return;
+        }
+        for zone in self.plan.out.difference(&plan.out) {
+            // The servers may have become cold meanwhile; the next announcement says so.
+            let warmup = plan.whole.services.values().map(|service| service.time).max();
+            let until = now + self.period + warmup.unwrap_or_default();
+            self.directory.chill(zone, until);
+        }
+        let place = |route: &Route| SocketAddrV4::new(route.addr, route.port);
+        self.routes = plan.whole.routes.iter().map(|route| (place(route), route.clone())).collect();
+        self.plan = plan;
+    }
+
+    /// Decides on a packet; `stale` where it may have waited for long.
+    pub fn packet(&mut self, now: Time, head: &Head, stale: bool) -> FlowVerdict {
+        if self.plan.index == 0 {
+            return FlowVerdict::Drop(DropReason::Early);
+        }
+        match head.opens {
+            true if stale => FlowVerdict::Drop(DropReason::Stale),
+            true => self.opening(now, head),
+            false => self.following(now, head),
+        }
+    }
+
+    fn opening(&mut self, now: Time, head: &Head) -> FlowVerdict {
+        let ends = (head.caller, head.route);
+        if !self.routes.contains_key(&head.route) {
+            return FlowVerdict::Reset;
+        }
+        if head.repeats > 0
+            && let Some(note) = self.notes.get(&ends)
+            && let Some(verdict) = self.repeated(now, ends, note)
+        {
+            return verdict;
+        }
+        let Some(id) = self.place(now, &ends) else { return FlowVerdict::Reset };
+        let note = Note { tag: tag(id), opened: false, closed: false, at: now };
+        self.notes.set(ends, note);
+        self.forward(note.tag).unwrap_or(FlowVerdict::Reset)
+    }
+
+    /// Returns where a repeated opening goes: where the first went, unless that server does not
+    /// answer others either.
+    fn repeated(&mut self, now: Time, ends: Ends, note: Note) -> Option<FlowVerdict> {
+        let record = self.directory.by_tag(note.tag)?;
+        let id = record.announced.id;
+        if record.state == ServerState::Gone {
+            return None;
+        }
+        if !note.opened {
+            self.evidence.unanswered(now, id);
+            if self.evidence.is_suspect(now, id) {
+                return None;
+            }
+        }
+        self.notes.set(ends, Note { at: now, ..note });
+        self.forward(note.tag)
+    }
+
+    /// Returns the server of a new flow.
+    fn place(&self, now: Time, ends: &Ends) -> Option<u64> {
+        let route = self.routes.get(&ends.1)?;
+        let key = key(ends);
+        let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let mut point = key % total.max(1);
+        let mut chosen = None;
+        for share in &route.shares {
+            if point < u64::from(share.weight) {
+                chosen = Some(share);
+                break;
+            }
+            point -= u64::from(share.weight);
+        }
+        // Where the chosen service has no server left, the others of the route are allowed too.
+        let rest = route.shares.iter().filter(|share| share.weight > 0);
+        let mut services = chosen.into_iter().chain(rest).map(|share| &share.service);
+        services.find_map(|service| choose(key, self.candidates(now, service)))
+    }
+
+    fn candidates(&self, now: Time, service: &Name) -> impl Iterator<Item = Candidate> {
+        let servers = self.directory.of_service(now, service);
+        servers.filter_map(move |(record, usable)| {
+            let server = &record.announced;
+            let allowed = usable == Usable::New && !self.plan.out.contains(&server.zone);
+            allowed.then(|| Candidate {
+                id: server.id,
+                near: server.zone == self.zone,
+                suspect: self.evidence.is_suspect(now, server.id),
+                flows: self.notes.open(tag(server.id)),
+            })
+        })
+    }
+
+    fn following(&mut self, now: Time, head: &Head) -> FlowVerdict {
+        let ends = (head.caller, head.route);
+        if !self.routes.contains_key(&head.route) {
+            return FlowVerdict::Reset;
+        }
+        let noted = self.notes.get(&ends);
+        // The cookie of a flow that was seen open here cannot change.
+        let known = noted.filter(|note| note.opened && !note.closed).map(|note| note.tag);
+        let cookie = Some(head.cookie).filter(|cookie| *cookie != 0);
+        let Some(tag) = known.or(cookie).or(noted.map(|note| note.tag)) else {
+            return FlowVerdict::Drop(DropReason::NoCookie);
+        };
+        let Some(record) = self.directory.by_tag(tag) else {
+            return FlowVerdict::Drop(DropReason::Unknown);
+        };
+        if record.state == ServerState::Gone {
+            return FlowVerdict::Reset;
+        }
+        let id = record.announced.id;
+        if noted.is_none_or(|note| !note.opened) {
+            self.evidence.answered(id);
+        }
+        let closed = head.ends || noted.is_some_and(|note| note.closed && note.tag == tag);
+        self.notes.set(ends, Note { tag, opened: true, closed, at: now });
+        self.forward(tag).unwrap_or(FlowVerdict::Drop(DropReason::Unknown))
+    }
+
+    fn forward(&self, tag: u32) -> Option<FlowVerdict> {
+        let server = &self.directory.by_tag(tag)?.announced;
+        Some(FlowVerdict::Forward { to: server.addr, id: server.id, cookie: tag })
+    }
+
+    /// Forgets what is old.
+    pub fn tick(&mut self, now: Time) {
+        if now.since(self.swept) < SWEEP {
+            return;
+        }
+        self.swept = now;
+        self.notes.expire(now, self.plan.whole.idle.max(OPENING));
+        self.evidence.tick(now);
+        self.directory.tick(now);
+    }
+}
+
+fn key((caller, route): &Ends) -> u64 {
+    let mut bytes = [0; 12];
+    bytes[..4].copy_from_slice(&caller.ip().octets());
+    bytes[4..6].copy_from_slice(&caller.port().to_be_bytes());
+    bytes[6..10].copy_from_slice(&route.ip().octets());
+    bytes[10..].copy_from_slice(&route.port().to_be_bytes());
+    hash(&bytes)
+}
--- /dev/null
+++ b/src/cookie/registry.rs
@@ -0,0 +1,163 @@
+//! The backend servers, as soft state of a control VM: made from announcements and from what
+//! other control VMs have heard, never written to the log.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    cookie::record::{Announcement, ServerRecord, ServerState},
+    time::Time,
+};
+
+/// Announcements that may be missed before a server counts as silent: one lost, one late, and
+/// one on its way through another control VM.
+const MISSED: u32 = 3;
+/// Time for which the end of a server is remembered: longer than a flow lives or an announcement
+/// may be late.
+const REMEMBERED: Duration = Duration::from_secs(120);
+/// Servers that are remembered at most, against announcements of made-up servers; ten times the
+/// size that the system is designed for.
+const SERVERS: usize = 70_000;
+
+/// What became of an announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// Entry VMs have to know.
+    Changed,
+    /// Only the time of the last announcement is new.
+    Same,
+    /// It is older than what is known.
+    Late,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    record: ServerRecord,
+    heard: Time,
+    /// Whether other control VMs have to be told.
+    fresh: bool,
+}
+
+/// The backend servers that a control VM knows.
+#[derive(Debug, Clone)]
+pub struct Registry {
+    /// Time between two announcements of a server.
+    period: Duration,
+    /// When the registry began to hear announcements.
+    since: Time,
+    servers: BTreeMap<u64, Known>,
+}
+
+impl Registry {
+    /// Returns an empty registry of servers that announce themselves once a `period`.
+    pub fn new(now: Time, period: Duration) -> Registry {
+        Registry { period, since: now, servers: BTreeMap::new() }
+    }
+
+    /// Returns for how long the registry has heard announcements.
+    pub fn age(&self, now: Time) -> Duration {
+        now.since(self.since)
+    }
+
+    /// Yields every record.
+    pub fn records(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.servers.values().map(|known| &known.record)
+    }
+
+    /// Returns the record of a server.
+    pub fn get(&self, id: u64) -> Option<&ServerRecord> {
+        self.servers.get(&id).map(|known| &known.record)
+    }
+
+    /// Takes over an announcement of a server.
+    pub fn announce(&mut self, now: Time, announced: Announcement) -> Heard {
+        self.learn(now, ServerRecord::new(announced), true)
+    }
+
+    /// Takes over that a server has left; returns its record where it was known.
+    pub fn leave(&mut self, now: Time, id: u64) -> Option<ServerRecord> {
+        let known = self.servers.get_mut(&id)?;
+        known.record.state = ServerState::Gone;
+        known.heard = now;
+        known.fresh = true;
+        Some(known.record.clone())
+    }
+
+    /// Takes over what another control VM has heard.
+    pub fn gossip(&mut self, now: Time, record: ServerRecord) -> Heard {
+        self.learn(now, record, false)
+    }
+
+    /// Takes over that another control VM, which has heard announcements for `age`, has told all
+    /// that it knows.
+    pub fn inherit(&mut self, now: Time, age: Duration) {
+        let since = now.as_micros().saturating_sub(age.as_micros() as u64);
+        self.since = self.since.min(Time::from_micros(since));
+    }
+
+    fn learn(&mut self, now: Time, mut record: ServerRecord, fresh: bool) -> Heard {
+        record.silent = false;
+        let id = record.announced.id;
+        let before = self.servers.get(&id).map(|known| &known.record);
+        if before.is_some_and(|before| record.version() <= before.version())
+            || (before.is_none() && self.servers.len() >= SERVERS)
+        {
+            return Heard::Late;
+        }
+        if self.is_replaced(&record) {
+            record.state = ServerState::Gone;
+        }
+        let changed = before.is_none_or(|before| record.differs(before));
+        self.servers.insert(id, Known { record, heard: now, fresh });
+        if changed { Heard::Changed } else { Heard::Same }
+    }
+
+    /// Returns whether a server that started later has the address of `record`.
+    fn is_replaced(&self, record: &ServerRecord) -> bool {
+        let own = &record.announced;
+        self.records().any(|other| {
+            let other = &other.announced;
+            other.id != own.id && other.addr == own.addr && other.born > own.born
+        })
+    }
+
+    /// Returns the records that other control VMs have to be told.
+    pub fn take_fresh(&mut self) -> Vec<ServerRecord> {
+        let fresh = self.servers.values_mut().filter(|known| known.fresh);
+        fresh
+            .map(|known| {
+                known.fresh = false;
+                known.record.clone()
+            })
+            .collect()
+    }
+
+    /// Notes which servers have fallen silent or lost their address; returns the changed records.
+    pub fn tick(&mut self, now: Time) -> Vec<ServerRecord> {
+        let limit = self.period * MISSED;
+        let sure = self.age(now) >= limit;
+        let latest = self.latest_by_addr();
+        let mut changed = Vec::new();
+        for known in self.servers.values_mut() {
+            let before = known.record.clone();
+            known.record.silent = sure && now.since(known.heard) >= limit;
+            let own = &known.record.announced;
+            if latest.get(&own.addr).is_some_and(|&(born, id)| born > own.born && id != own.id) {
+                known.record.state = ServerState::Gone;
+            }
+            if known.record != before {
+                changed.push(known.record.clone());
+            }
+        }
+        self.servers.retain(|_, known| now.since(known.heard) < REMEMBERED);
+        changed
+    }
+
+    fn latest_by_addr(&self) -> BTreeMap<std::net::SocketAddrV4, (u64, u64)> {
+        let mut latest = BTreeMap::new();
+        for Announcement { addr, born, id, .. } in self.records().map(|record| &record.announced) {
+            let held = latest.entry(*addr).or_insert((*born, *id));
+            *held = (*held).max((*born, *id));
+        }
+        latest
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,15 +2,23 @@
 
 mod control;
 mod entry;
+mod forward;
+mod link;
 mod logging;
 mod metrics;
 mod packets;
 mod peers;
+mod publish;
+mod registrar;
 mod saved;
 mod stop;
+mod subscribe;
 mod uplink;
+mod writer;
 
 pub use control::run_control;
 pub use entry::run_entry;
-pub use logging::init_logging;
+pub use forward::{ForwardHandle, ForwardSettings, PacketForm, start_forwarder};
+pub use logging::{init_logging, init_stdout_logging};
+pub use registrar::{Registrar, RegistrarSettings, start_registrar};
 pub use stop::stop_signal;
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -18,9 +18,10 @@
 
 use crate::{
     control::{
-        ControlAction, ControlEvent, ControlNode, ControlStatus, Envelope, Fate, FolderDisk,
-        Identity, Past, Recovered, Seat, Signer, Storage, Submission, Write,
+        ControlAction, ControlEvent, ControlNode, ControlStatus, Envelope, Fate, Past, Seat,
+        Signer, Submission, Write,
     },
+    daemon::writer,
     error::{Error, Result},
     peer::Keys,
     rpc::{
@@ -35,8 +36,6 @@
 
 const QUEUE_LEN: usize = 1024;
 const TICK: Duration = Duration::from_millis(20);
-/// Time between two tries to open a data folder whose disk has failed.
-const REOPEN_PERIOD: Duration = Duration::from_secs(1);
 
 type RpcResult<T> = std::result::Result<T, ErrorObjectOwned>;
 
@@ -139,7 +138,7 @@
 /// Fails when the data folder or the address cannot be used.
 pub async fn run_control(settings: Settings<ControlSettings, Checked>) -> Result<ServerHandle> {
     let signer = signer(&settings)?;
-    let (storage, recovered) = open(&settings)?;
+    let (storage, recovered) = writer::open(&settings.data)?;
     let seat = Seat { name: settings.name.clone(), addr: settings.listen };
     log::info!(
         "serving on {} as replica {} with {} log entries after snapshot {}",
@@ -162,7 +161,7 @@
     let handle = server.start(Api { calls, signer: signer.clone() }.into_rpc());
     let (events, reports) = mpsc::unbounded_channel();
     let (answers, answered) = mpsc::channel(QUEUE_LEN);
-    let writes = start_writer(settings, storage, events);
+    let writes = writer::start(settings.data.clone(), storage, events);
     let shell = Shell {
         node,
         writes,
@@ -171,6 +170,7 @@
         answers,
         signer,
         waiting: BTreeMap::new(),
+        reads: BTreeMap::new(),
         ticket: 0,
         origin: Instant::now(),
     };
@@ -191,68 +191,6 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
-fn open(settings: &ControlSettings) -> Result<(Storage<FolderDisk>, Recovered)> {
-    let disk = FolderDisk::new(&settings.data)?;
-    let path = settings.data.display().to_string();
-    Storage::open(disk).recover(Identity::new(rand::random())).map_err(|err| {
-        let inner = err.path().unwrap_or_default().to_owned();
-        err.with_path(format!("{path}/{inner}"))
-    })
-}
-
-/// Starts the thread that writes; it reports each write when it is synced, in order.
-///
-/// Each write comes with the number of recoveries that its replica has seen.
-fn start_writer(
-    settings: Settings<ControlSettings, Checked>,
-    storage: Storage<FolderDisk>,
-    events: mpsc::UnboundedSender<ControlEvent>,
-) -> mpsc::UnboundedSender<(u64, Write)> {
-    let (sender, writes) = mpsc::unbounded_channel();
-    tokio::task::spawn_blocking(move || write_all(&settings, storage, writes, &events));
-    sender
-}
-
-fn write_all(
-    settings: &ControlSettings,
-    mut storage: Storage<FolderDisk>,
-    mut writes: mpsc::UnboundedReceiver<(u64, Write)>,
-    events: &mpsc::UnboundedSender<ControlEvent>,
-) {
-    let mut epoch = 0;
-    while let Some((asked, write)) = writes.blocking_recv() {
-        if asked != epoch {
-            // It belongs to the replica that ended with the failure.
-            continue;
-        }
-        let event = match storage.write(&write) {
-            Ok(()) => ControlEvent::Synced(write.id),
-            Err(err) => {
-                log::error!("{err}; nothing is acknowledged until the disk works again");
-                _ = events.send(ControlEvent::SyncFailed);
-                drop(storage);
-                let recovered;
-                (storage, recovered) = reopen(settings);
-                log::info!("the data folder works again");
-                epoch += 1;
-                ControlEvent::Recovered(recovered)
-            }
-        };
-        if events.send(event).is_err() {
-            return;
-        }
-    }
-}
-
-fn reopen(settings: &ControlSettings) -> (Storage<FolderDisk>, Recovered) {
-    loop {
-        std::thread::sleep(REOPEN_PERIOD);
-        if let Ok(opened) = open(settings) {
-            return opened;
-        }
-    }
-}
-
 struct Shell {
     node: ControlNode,
     writes: mpsc::UnboundedSender<(u64, Write)>,
@@ -262,6 +200,8 @@
     answers: mpsc::Sender<Envelope>,
     signer: Option<Signer>,
     waiting: BTreeMap<u64, oneshot::Sender<Reply>>,
+    /// Calls that wait until their read is confirmed.
+    reads: BTreeMap<u64, Call>,
     ticket: u64,
     origin: Instant,
 }
@@ -314,17 +254,10 @@
                 self.node.refuse();
                 None
             }
-            Call::Tree(reply) => {
-                let reading = self.node.read(now).map(|machine| {
-                    let state = machine.state();
-                    Reading { index: state.index, tree: state.tree.clone() }
-                });
-                _ = reply.send(reading);
-                None
-            }
-            Call::History(reply) => {
-                _ = reply.send(self.node.read(now).map(|machine| machine.history().to_vec()));
-                None
+            Call::Tree(_) | Call::History(_) => {
+                self.ticket += 1;
+                self.reads.insert(self.ticket, call);
+                Some(ControlEvent::Read { ticket: self.ticket })
             }
             Call::Status(reply) => {
                 _ = reply.send(self.node.status(now));
@@ -380,6 +313,7 @@
                 return;
             }
             ControlAction::Send { to, envelope } => return self.send(to, envelope),
+            ControlAction::Readable { ticket, fresh } => return self.finish_read(ticket, fresh),
             ControlAction::Fate { ticket, fate } => (ticket, Reply::Fate(fate)),
             ControlAction::Entries { ticket, entries } => {
                 (ticket, Reply::Entries(Box::new(entries)))
@@ -390,6 +324,26 @@
         }
     }
 
+    fn finish_read(&mut self, ticket: u64, fresh: bool) {
+        let machine = || match fresh {
+            true => Ok(self.node.machine()),
+            false => Err(self.node.unsure()),
+        };
+        match self.reads.remove(&ticket) {
+            Some(Call::Tree(reply)) => {
+                let reading = machine().map(|machine| {
+                    let state = machine.state();
+                    Reading { index: state.index, tree: state.tree.clone() }
+                });
+                _ = reply.send(reading);
+            }
+            Some(Call::History(reply)) => {
+                _ = reply.send(machine().map(|machine| machine.history().to_vec()));
+            }
+            _ => {}
+        }
+    }
+
     /// Queues a message; one that finds the queue full is lost like one on the way.
     fn send(&mut self, to: SocketAddr, envelope: Envelope) {
         let Some(signer) = &self.signer else { return };
--- /dev/null
+++ b/src/daemon/forward.rs
@@ -0,0 +1,306 @@
+//! Shell of an entry VM that forwards by flow cookies.
+
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use nix::time::{ClockId, clock_gettime};
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, watch},
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use super::{
+    packets,
+    subscribe::{Fed, Feeds, Known},
+};
+use crate::{
+    cookie::{DropReason, FeedMessage, FlowVerdict, Forwarder, Head},
+    error::{Error, Result},
+    name::Name,
+    time::Time,
+};
+
+/// Longest packet with its head, in bytes.
+const PACKET_LEN: usize = 2_048;
+/// Messages of feeds that wait at most.
+const QUEUE_LEN: usize = 64;
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(250);
+/// Time between two wake-ups after which packets may have waited for long: twice a tick.
+const STILL: Duration = Duration::from_millis(500);
+/// Time after which a VM that reaches no control VM with a quorum serves what it has: two
+/// elections.
+const UNCONFIRMED: Duration = Duration::from_millis(4_000);
+/// Age of the registry from which on it names nearly every server, in periods of announcements.
+const COMPLETE: f64 = 1.5;
+/// Time for which a stopping VM forwards on: two probes of the fabric, half a second apart, and
+/// what is on its way.
+const LEAVING: Duration = Duration::from_millis(1_800);
+/// Time between two lines with the counts of packets.
+const REPORT: Duration = Duration::from_secs(5);
+
+/// How packets are written on the wire.
+pub trait PacketForm: Send + 'static {
+    /// Reads what the forwarder needs, or `None` where the bytes are no packet of a caller.
+    fn read(&self, packet: &[u8]) -> Option<Head>;
+
+    /// Writes to `out` what the server `id` is sent for `packet`, under `cookie`.
+    fn forward(&self, packet: &[u8], id: u64, cookie: u32, out: &mut Vec<u8>);
+
+    /// Writes to `out` a reset of the flow of `packet`, for its caller.
+    fn reset(&self, packet: &[u8], out: &mut Vec<u8>);
+}
+
+/// Settings of an entry VM that forwards by flow cookies.
+#[derive(Debug, Clone)]
+pub struct ForwardSettings {
+    /// Name of the VM.
+    pub name: Name,
+    /// Availability zone that it runs in.
+    pub zone: Name,
+    /// Where packets of callers arrive (UDP).
+    pub packets: SocketAddr,
+    /// Control VMs to start with.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between two announcements of a backend server.
+    pub period: Duration,
+}
+
+/// A running entry VM.
+#[derive(Clone)]
+pub struct ForwardHandle {
+    ready: watch::Receiver<bool>,
+    stopping: watch::Sender<bool>,
+    seeds: watch::Sender<Vec<SocketAddr>>,
+}
+
+impl ForwardHandle {
+    /// Returns whether the VM knows enough to take packets.
+    pub fn is_ready(&self) -> bool {
+        *self.ready.borrow() && !*self.stopping.borrow()
+    }
+
+    /// Stops in order: the fabric learns first that the VM takes no packets, and the packets that
+    /// it still sends are forwarded until then.
+    pub async fn stop(&self) {
+        self.stopping.send_replace(true);
+        log::info!("event=stop");
+        sleep(LEAVING).await;
+    }
+
+    /// Replaces the control VMs to start with.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.seeds.send_replace(seeds);
+    }
+}
+
+/// Starts an entry VM that forwards by flow cookies.
+///
+/// # Errors
+///
+/// Fails when its address cannot be used.
+pub async fn start_forwarder(
+    settings: ForwardSettings,
+    form: impl PacketForm,
+) -> Result<ForwardHandle> {
+    let socket = UdpSocket::bind(settings.packets).await.map_err(|err| {
+        let message = format!("{}: {err}; free the address or choose another", settings.packets);
+        Error::settings(message)
+    })?;
+    log::info!("event=start vm={} zone={}", settings.name, settings.zone);
+    let (ready, is_ready) = watch::channel(false);
+    let (index, applied) = watch::channel(0);
+    let (seeds, feed_seeds) = watch::channel(settings.seeds.clone());
+    let (fed, messages) = mpsc::channel(QUEUE_LEN);
+    let feeds = Feeds {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        seeds: feed_seeds,
+        index: applied,
+        fed,
+        known: Arc::new(Mutex::new(Known::default())),
+    };
+    tokio::spawn(feeds.clone().run(0));
+    tokio::spawn(feeds.run(1));
+    let now = now();
+    let shell = Shell {
+        forwarder: Forwarder::new(settings.zone.clone(), settings.period),
+        form,
+        socket,
+        port: settings.packets.port(),
+        period: settings.period,
+        ready,
+        index,
+        started: now,
+        woken: now,
+        reported: now,
+        counts: Counts::default(),
+        out: Vec::with_capacity(PACKET_LEN),
+    };
+    tokio::spawn(shell.serve(messages));
+    Ok(ForwardHandle { ready: is_ready, stopping: watch::Sender::new(false), seeds })
+}
+
+/// Returns the time since the machine started; it counts time in which the VM was suspended.
+fn now() -> Time {
+    let since = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from).unwrap_or_default();
+    Time::ZERO + since
+}
+
+/// Packets by what became of them.
+#[derive(Debug, Default)]
+struct Counts {
+    forwarded: u64,
+    reset: u64,
+    malformed: u64,
+    unknown: u64,
+    uncookied: u64,
+    stale: u64,
+    early: u64,
+    unsent: u64,
+}
+
+struct Shell<F> {
+    forwarder: Forwarder,
+    form: F,
+    socket: UdpSocket,
+    /// Port at which callers take packets.
+    port: u16,
+    period: Duration,
+    ready: watch::Sender<bool>,
+    index: watch::Sender<u64>,
+    started: Time,
+    woken: Time,
+    reported: Time,
+    counts: Counts,
+    out: Vec<u8>,
+}
+
+impl<F: PacketForm> Shell<F> {
+    async fn serve(mut self, mut messages: mpsc::Receiver<Fed>) {
+        let mut buf = vec![0; PACKET_LEN];
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                readable = self.socket.readable() => {
+                    if let Err(err) = readable.and_then(|()| self.drain(&mut buf)) {
+                        log::error!("event=socket_failed reason={:?}", err.to_string());
+                        return;
+                    }
+                }
+                message = messages.recv() => match message {
+                    Some(message) => self.fed(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn drain(&mut self, buf: &mut [u8]) -> std::io::Result<()> {
+        let now = self.wake();
+        let stale = now.since(self.woken) >= STILL;
+        loop {
+            let (len, _) = match self.socket.try_recv_from(buf) {
+                Ok(received) => received,
+                Err(err) if err.kind() == std::io::ErrorKind::WouldBlock => break,
+                // An earlier datagram met a closed port; the socket itself is fine.
+                Err(err) if err.kind() == std::io::ErrorKind::ConnectionRefused => continue,
+                Err(err) => return Err(err),
+            };
+            self.packet(now, &buf[..len], stale);
+        }
+        self.woken = now;
+        Ok(())
+    }
+
+    fn wake(&mut self) -> Time {
+        now()
+    }
+
+    fn packet(&mut self, now: Time, packet: &[u8], stale: bool) {
+        let Some(head) = self.form.read(packet) else {
+            self.counts.malformed += 1;
+            return;
+        };
+        self.out.clear();
+        match self.forwarder.packet(now, &head, stale) {
+            FlowVerdict::Forward { to, id, cookie } => {
+                self.form.forward(packet, id, cookie, &mut self.out);
+                self.counts.forwarded += 1;
+                self.send(SocketAddr::V4(to));
+            }
+            FlowVerdict::Reset => {
+                self.form.reset(packet, &mut self.out);
+                self.counts.reset += 1;
+                self.send(SocketAddr::V4(SocketAddrV4::new(*head.caller.ip(), self.port)));
+            }
+            FlowVerdict::Drop(reason) => *self.counts.of(reason) += 1,
+        }
+    }
+
+    fn send(&mut self, to: SocketAddr) {
+        if !packets::send(&self.socket, &self.out, to) {
+            self.counts.unsent += 1;
+        }
+    }
+
+    fn fed(&mut self, fed: Fed) {
+        let now = now();
+        match fed {
+            Fed::Message(source, message) => {
+                if let FeedMessage::Beat { fresh, age, .. } = &message {
+                    self.judge(now, *fresh, *age);
+                }
+                self.forwarder.fed(now, source, message);
+                let index = self.forwarder.plan().index;
+                if self.index.send_if_modified(|held| std::mem::replace(held, index) != index) {
+                    let number = self.forwarder.plan().whole.number;
+                    log::info!("event=plan index={index} number={number}");
+                }
+            }
+            Fed::Lost(source) => self.forwarder.lose(source),
+        }
+    }
+
+    /// Decides whether the VM knows enough to take packets; once it does, it stays so.
+    fn judge(&mut self, now: Time, fresh: bool, age: Duration) {
+        let waited = now.since(self.started) >= UNCONFIRMED;
+        let known = self.forwarder.plan().index > 0 && !self.forwarder.directory().is_empty();
+        let complete = age >= self.period.mul_f64(COMPLETE);
+        if known && (waited || (fresh && complete)) && !*self.ready.borrow() {
+            self.ready.send_replace(true);
+            log::info!(
+                "event=ready fresh={fresh} registry_age_ms={} servers={}",
+                age.as_millis(),
+                self.forwarder.directory().len()
+            );
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = now();
+        self.woken = self.woken.max(now);
+        self.forwarder.tick(now);
+        if now.since(self.reported) >= REPORT {
+            self.reported = now;
+            log::info!("event=counts flows={} {:?}", self.forwarder.flows(), self.counts);
+        }
+    }
+}
+
+impl Counts {
+    fn of(&mut self, reason: DropReason) -> &mut u64 {
+        match reason {
+            DropReason::Unknown => &mut self.unknown,
+            DropReason::NoCookie => &mut self.uncookied,
+            DropReason::Stale => &mut self.stale,
+            DropReason::Early => &mut self.early,
+        }
+    }
+}
--- a/src/daemon/logging.rs
+++ b/src/daemon/logging.rs
@@ -1,5 +1,7 @@
 //! Log output of the daemons.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use crate::error::{Error, Result};
 
 /// Sends log lines of level `info` and above to standard error.
@@ -19,3 +21,23 @@
         .apply()
         .map_err(|err| Error::settings(format!("{err}; install one logger per process")))
 }
+
+/// Sends log lines of level `info` and above to standard output, each with the time of day in
+/// milliseconds since 1970.
+///
+/// # Errors
+///
+/// Fails when a logger is installed already.
+pub fn init_stdout_logging() -> Result<()> {
+    fern::Dispatch::new()
+        .format(move |out, message, record| {
+            let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            out.finish(format_args!("at={} level={} {message}", since.as_millis(), record.level()));
+        })
+        .level(log::LevelFilter::Warn)
+        .level_for("galenatrail", log::LevelFilter::Info)
+        .level_for("galenatrail_platform", log::LevelFilter::Info)
+        .chain(std::io::stdout())
+        .apply()
+        .map_err(|err| Error::settings(format!("{err}; install one logger per process")))
+}
--- /dev/null
+++ b/src/daemon/publish.rs
@@ -0,0 +1,152 @@
+//! The feed of a control VM to entry VMs.
+
+use std::{collections::BTreeSet, io, sync::Arc, time::Duration};
+
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, watch},
+    time::sleep,
+};
+
+use super::link::{self, Answer, Parcel};
+use crate::{
+    cookie::{FeedMessage, Plan, ServerRecord},
+    name::Name,
+    state::State,
+    whole::Whole,
+};
+
+/// Messages that wait for an entry VM at most; one that falls behind connects anew.
+const QUEUE_LEN: usize = 256;
+/// Shortest time between two plans to one entry VM: in a storm of changes most are overtaken.
+const PLAN_GAP: Duration = Duration::from_millis(150);
+
+/// A feed message as it is sent; made once for all entry VMs.
+type Encoded = Arc<[u8]>;
+
+/// An entry VM that has asked for the feed.
+pub(super) struct Subscriber {
+    pub(super) name: Name,
+    pub(super) index: u64,
+    pub(super) plans: bool,
+    pub(super) stream: TcpStream,
+}
+
+/// The newest plan.
+#[derive(Clone, Default)]
+struct Newest {
+    index: u64,
+    encoded: Encoded,
+}
+
+/// Feeds every entry VM that has asked.
+pub(super) struct Publisher {
+    queues: Vec<mpsc::Sender<Parcel<Encoded>>>,
+    newest: watch::Sender<Newest>,
+    whole: Option<Arc<Whole>>,
+    out: BTreeSet<Name>,
+}
+
+impl Publisher {
+    pub(super) fn new() -> Publisher {
+        let (queues, out) = (Vec::new(), BTreeSet::new());
+        Publisher { queues, newest: watch::Sender::new(Newest::default()), whole: None, out }
+    }
+
+    /// Publishes the plan of `state` where it differs from the last one.
+    pub(super) fn publish(&mut self, state: &State) {
+        let same = match (&state.whole, &self.whole) {
+            (Some(new), Some(old)) => Arc::ptr_eq(new, old),
+            (None, _) => true,
+            (Some(_), None) => false,
+        };
+        if same && state.zones_out.keys().eq(self.out.iter()) {
+            return;
+        }
+        self.whole = state.whole.clone();
+        self.out = state.zones_out.keys().cloned().collect();
+        let Some(whole) = &self.whole else { return };
+        let plan = Plan {
+            index: state.index,
+            whole: Arc::new(whole.without_source()),
+            out: self.out.clone(),
+        };
+        log::info!("event=plan index={} number={} out={:?}", plan.index, whole.number, plan.out);
+        let encoded = encode(&FeedMessage::Plan(Arc::new(plan)));
+        self.newest.send_replace(Newest { index: state.index, encoded });
+    }
+
+    /// Sends a message to every entry VM.
+    pub(super) fn send(&mut self, message: &FeedMessage, arrived: Option<&mpsc::Sender<()>>) {
+        if self.queues.is_empty() {
+            return;
+        }
+        let encoded = encode(message);
+        self.queues.retain(|queue| {
+            let parcel = Parcel { message: encoded.clone(), arrived: arrived.cloned() };
+            queue.try_send(parcel).is_ok()
+        });
+    }
+
+    /// Starts to feed an entry VM.
+    pub(super) fn subscribe(
+        &mut self,
+        subscriber: Subscriber,
+        beat: FeedMessage,
+        records: Vec<ServerRecord>,
+    ) {
+        let (queue, parcels) = mpsc::channel(QUEUE_LEN);
+        for message in [FeedMessage::Servers { all: true, records }, beat] {
+            let parcel = Parcel { message: encode(&message), arrived: None };
+            // The queue is new and empty.
+            _ = queue.try_send(parcel);
+        }
+        self.queues.push(queue);
+        let newest = self.newest.subscribe();
+        log::info!("event=feed_start vm={} index={}", subscriber.name, subscriber.index);
+        tokio::spawn(async move {
+            let name = subscriber.name.clone();
+            if let Err(err) = feed(subscriber, parcels, newest).await {
+                log::info!("event=feed_end vm={name} reason={:?}", err.to_string());
+            }
+        });
+    }
+}
+
+/// Feeds one entry VM until its connection fails.
+async fn feed(
+    subscriber: Subscriber,
+    mut parcels: mpsc::Receiver<Parcel<Encoded>>,
+    mut newest: watch::Receiver<Newest>,
+) -> io::Result<()> {
+    let Subscriber { index: mut held, plans, mut stream, .. } = subscriber;
+    let mut wanted = true;
+    loop {
+        let plan = newest.borrow_and_update().clone();
+        if wanted && plan.index > held {
+            link::send_encoded(&mut stream, &plan.encoded).await?;
+            held = plan.index;
+            wanted = plans;
+            if plans {
+                sleep(PLAN_GAP).await;
+            }
+            continue;
+        }
+        tokio::select! {
+            changed = newest.changed(), if wanted => changed.map_err(io::Error::other)?,
+            parcel = parcels.recv() => {
+                let Some(Parcel { message, arrived }) = parcel else { return Ok(()) };
+                let answer = link::send_encoded(&mut stream, &message).await?;
+                wanted |= answer == Answer::Wants;
+                if let Some(arrived) = arrived {
+                    // Only the first arrival counts; the receiver may have gone on.
+                    _ = arrived.try_send(());
+                }
+            }
+        }
+    }
+}
+
+fn encode(message: &FeedMessage) -> Encoded {
+    link::encode(message).into()
+}
--- /dev/null
+++ b/src/daemon/writer.rs
@@ -0,0 +1,79 @@
+//! The thread that writes the log of a control VM, so that a slow disk holds up nothing else.
+
+use std::{path::Path, path::PathBuf, time::Duration};
+
+use tokio::sync::mpsc;
+
+use crate::{
+    control::{ControlEvent, FolderDisk, Identity, Recovered, Storage, Write},
+    error::Result,
+};
+
+/// Time between two tries to open a data folder whose disk has failed.
+const REOPEN_PERIOD: Duration = Duration::from_millis(500);
+
+/// Opens the data folder and reads what it holds.
+///
+/// # Errors
+///
+/// Fails when the folder cannot be used or is damaged.
+pub(super) fn open(folder: &Path) -> Result<(Storage<FolderDisk>, Recovered)> {
+    let disk = FolderDisk::new(folder)?;
+    Storage::open(disk).recover(Identity::new(rand::random())).map_err(|err| {
+        let inner = err.path().unwrap_or_default().to_owned();
+        err.with_path(format!("{}/{inner}", folder.display()))
+    })
+}
+
+/// Starts the thread that writes; it reports each write when it is synced, in order.
+///
+/// Each write comes with the number of recoveries that its replica has seen.
+pub(super) fn start(
+    folder: PathBuf,
+    storage: Storage<FolderDisk>,
+    events: mpsc::UnboundedSender<ControlEvent>,
+) -> mpsc::UnboundedSender<(u64, Write)> {
+    let (sender, writes) = mpsc::unbounded_channel();
+    tokio::task::spawn_blocking(move || write_all(&folder, storage, writes, &events));
+    sender
+}
+
+fn write_all(
+    folder: &Path,
+    mut storage: Storage<FolderDisk>,
+    mut writes: mpsc::UnboundedReceiver<(u64, Write)>,
+    events: &mpsc::UnboundedSender<ControlEvent>,
+) {
+    let mut epoch = 0;
+    while let Some((asked, write)) = writes.blocking_recv() {
+        if asked != epoch {
+            // It belongs to the replica that ended with the failure.
+            continue;
+        }
+        let event = match storage.write(&write) {
+            Ok(()) => ControlEvent::Synced(write.id),
+            Err(err) => {
+                log::error!("{err}; nothing is acknowledged until the disk works again");
+                _ = events.send(ControlEvent::SyncFailed);
+                drop(storage);
+                let recovered;
+                (storage, recovered) = reopen(folder);
+                log::info!("the data folder works again");
+                epoch += 1;
+                ControlEvent::Recovered(recovered)
+            }
+        };
+        if events.send(event).is_err() {
+            return;
+        }
+    }
+}
+
+fn reopen(folder: &Path) -> (Storage<FolderDisk>, Recovered) {
+    loop {
+        std::thread::sleep(REOPEN_PERIOD);
+        if let Ok(opened) = open(folder) {
+            return opened;
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 
 mod backend;
 mod control;
+mod cookie;
 mod counter;
 mod ctl;
 mod daemon;
@@ -59,6 +60,7 @@
 mod state;
 mod time;
 mod tree;
+mod whole;
 
 pub use crate::{
     backend::{
@@ -71,9 +73,17 @@
         Past, Payload, Ready, Recovered, Replica, ReplicaAction, ReplicaMessage, ReplicaStatus,
         Request, Role, Seat, Signer, Snapshot, Storage, Submission, Write, accepted,
     },
+    cookie::{
+        Announcement, Candidate, ControlSeat, Directory, DropReason, FeedMessage, FlowVerdict,
+        Forwarder, Gossip, Head, Heard, Plan, Registry, ServerRecord, ServerState, Usable, choose,
+        tag,
+    },
     counter::{Counter, Counters},
     ctl::run_ctl,
-    daemon::{init_logging, run_control, run_entry, stop_signal},
+    daemon::{
+        ForwardHandle, ForwardSettings, PacketForm, Registrar, RegistrarSettings, init_logging,
+        init_stdout_logging, run_control, run_entry, start_forwarder, start_registrar, stop_signal,
+    },
     entry::{EntryAction, EntryEvent, EntryNode, Router, Verdict},
     error::{Error, Result},
     flow::{FlowMessage, Group, MovePhase, Mover, Placement, RECORD_LEN, Step, Target},
@@ -88,4 +98,5 @@
     state::{Announce, Command, Given, Outcome, State},
     time::Time,
     tree::{Access, Branch, Mode, Revised, Rights, ServiceSpec, Tree, check_secret},
+    whole::{Route, Share, Warmup, Whole},
 };
--- a/src/standin/replicas.rs
+++ b/src/standin/replicas.rs
@@ -60,6 +60,8 @@
     pub sent: (u64, u64),
     /// What became of submissions, by ticket.
     pub fates: BTreeMap<u64, Fate>,
+    /// Whether reads were confirmed, by ticket.
+    pub reads: BTreeMap<u64, bool>,
     /// Answers to reports, by ticket.
     pub entries: BTreeMap<u64, Entries>,
     /// Broken invariants.
@@ -88,6 +90,7 @@
             cuts: BTreeSet::new(),
             sent: (0, 0),
             fates: BTreeMap::new(),
+            reads: BTreeMap::new(),
             entries: BTreeMap::new(),
             violations: Vec::new(),
             voters: voters.collect(),
@@ -226,6 +229,15 @@
         ticket
     }
 
+    /// Starts a read at a VM; whether it was confirmed is in [`Replicas::reads`] under the
+    /// returned ticket.
+    pub fn read(&mut self, vm: &str) -> u64 {
+        self.serial += 1;
+        let ticket = self.serial;
+        self.event(vm, ControlEvent::Read { ticket });
+        ticket
+    }
+
     /// Hands a report to a VM; its answer is in [`Replicas::entries`] under the returned ticket.
     pub fn report(&mut self, vm: &str, progress: Progress) -> u64 {
         self.serial += 1;
@@ -296,6 +308,7 @@
             }
             ControlAction::Send { to, envelope } => self.carry(vm, to, envelope),
             ControlAction::Fate { ticket, fate } => _ = self.fates.insert(ticket, fate),
+            ControlAction::Readable { ticket, fresh } => _ = self.reads.insert(ticket, fresh),
             ControlAction::Entries { ticket, entries } => _ = self.entries.insert(ticket, entries),
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
 };
 
 use serde::{Deserialize, Serialize};
@@ -13,6 +14,7 @@
     flow::{Placement, Step},
     name::{Name, check_name},
     tree::{Branch, Rights, Tree},
+    whole::Whole,
 };
 
 mod place;
@@ -78,6 +80,9 @@
         /// The new rights.
         rights: Rights,
     },
+    /// An operator replaces the whole configuration; one whose number is not higher than the
+    /// number in force changes nothing.
+    Whole(Arc<Whole>),
     /// A backend server that no home VM ramps: it takes its full share at once.
     Server(Announce),
     /// A home VM reports a backend server.
@@ -112,6 +117,16 @@
 }
 
 impl Command {
+    /// Returns about how many bytes the command takes in memory, where that may be many.
+    pub(crate) fn len(&self) -> usize {
+        /// Bytes of a typed route with one share.
+        const ROUTE_LEN: usize = 96;
+        match self {
+            Command::Whole(whole) => whole.source.len() + whole.routes.len() * ROUTE_LEN,
+            _ => 0,
+        }
+    }
+
     /// Returns what an operator changes with the command, or `None` where a VM of the system
     /// reports something.
     pub fn subject(&self) -> Option<Name> {
@@ -123,6 +138,7 @@
             Command::Drain { server, draining: true } => Some(format!("drain {server}").into()),
             Command::Drain { server, .. } => Some(format!("drain --end {server}").into()),
             Command::Rights { .. } => Some("rights".into()),
+            Command::Whole(whole) => Some(format!("whole {}", whole.number).into()),
             _ => None,
         }
     }
@@ -164,6 +180,8 @@
     pub standings: BTreeMap<Name, Standing>,
     /// Flow placement by service.
     pub placements: BTreeMap<Name, Placement>,
+    /// The whole configuration, where operators number them.
+    pub whole: Option<Arc<Whole>>,
     /// Addresses of services and backend servers that wait before another service may have them.
     pub quarantine: BTreeMap<SocketAddr, Given>,
 }
@@ -212,6 +230,12 @@
             Command::Zone { zone, out: false } => {
                 self.zone_in(zone);
             }
+            Command::Whole(whole) => {
+                whole.check()?;
+                if self.whole.as_ref().is_none_or(|held| held.number < whole.number) {
+                    self.whole = Some(whole.clone());
+                }
+            }
             Command::Server(announce) => {
                 self.standings.remove(&announce.server);
                 self.servers.insert(announce.server.clone(), announce.clone());
--- a/src/state/place.rs
+++ b/src/state/place.rs
@@ -54,7 +54,7 @@
             }
             Command::Gone { server } | Command::Drain { server, .. } => service(server),
             Command::Step { step: Step::Release { .. }, .. } => Scope::Every,
-            Command::Step { .. } => Scope::one(None),
+            Command::Step { .. } | Command::Whole(_) => Scope::one(None),
             Command::Apply { .. } | Command::Zone { .. } | Command::Rights { .. } => Scope::Every,
         }
     }
--- a/src/tree/rights.rs
+++ b/src/tree/rights.rs
@@ -43,7 +43,7 @@
     fn allows(&self, command: &Command) -> bool {
         match command {
             Command::Apply { team, .. } => self.teams.contains(team),
-            Command::Zone { .. } | Command::Drain { .. } => self.operations,
+            Command::Zone { .. } | Command::Drain { .. } | Command::Whole(_) => self.operations,
             Command::Rights { .. } => self.admin,
             _ => false,
         }
