Keep the plan and the servers on the control VMs' disks

Change: control VMs keep the committed plan and the registry as a copy that may be lost, feed it at once, and connections are tried anew after 250 ms; a flow for a service without any known server is left to its caller's repeats in the first 5 s.

--- a/src/control/storage.rs
+++ b/src/control/storage.rs
@@ -20,6 +20,7 @@
 
 const HARD_FILE: &str = "hard";
 const SNAPSHOT_FILE: &str = "snapshot";
+const KEPT_FILE: &str = "kept";
 /// Bytes after which a segment is followed by the next.
 const SEGMENT_LEN: usize = 1 << 20;
 const SUM_LEN: usize = 4;
@@ -127,11 +128,7 @@
 
     fn read_file<T: DeserializeOwned>(&self, file: &str) -> Result<T> {
         let bytes = self.disk.read(file)?;
-        let value = bytes.split_first_chunk::<SUM_LEN>().and_then(|(sum, body)| {
-            let whole = crc32fast::hash(body).to_le_bytes() == *sum;
-            whole.then(|| postcard::from_bytes(body).ok()).flatten()
-        });
-        value.ok_or_else(|| {
+        read_sealed(&bytes).ok_or_else(|| {
             let message = "is damaged; move the data folder away and start the VM again, and it \
                            takes the log from the others under a new identity";
             Error::storage(message).with_path(file)
@@ -166,6 +163,20 @@
 }
 
 impl<D: Disk> Storage<D> {
+    /// Keeps a copy of something that may be lost; a failure changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the copy cannot be written.
+    pub fn keep<T: Serialize>(&mut self, value: &T) -> Result<()> {
+        Ok(self.disk.replace(KEPT_FILE, &sealed(value)?)?)
+    }
+
+    /// Returns what was kept last, or `None` where it was lost.
+    pub fn kept<T: DeserializeOwned>(&self) -> Option<T> {
+        read_sealed(&self.disk.read(KEPT_FILE).ok()?)
+    }
+
     /// Writes and syncs; what `write` holds is durable where this succeeds.
     ///
     /// # Errors
@@ -248,6 +259,12 @@
     Ok(())
 }
 
+fn read_sealed<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    let (sum, body) = bytes.split_first_chunk::<SUM_LEN>()?;
+    let whole = crc32fast::hash(body).to_le_bytes() == *sum;
+    whole.then(|| postcard::from_bytes(body).ok()).flatten()
+}
+
 fn sealed<T: Serialize>(value: &T) -> Result<Vec<u8>> {
     let body = postcard::to_stdvec(value)
         .map_err(|err| Error::storage(format!("state cannot be written: {err}; report this")))?;
--- a/src/cookie/feed.rs
+++ b/src/cookie/feed.rs
@@ -67,3 +67,15 @@
         records: Vec<ServerRecord>,
     },
 }
+
+/// What a control VM keeps on its disk so that entry VMs are served soon after all VMs were down:
+/// a plan that was in force and servers that were there. What operators and servers were
+/// acknowledged does not rest on it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Kept {
+    /// The plan.
+    pub plan: Option<Arc<Plan>>,
+    /// The servers.
+    pub records: Vec<ServerRecord>,
+}
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -20,6 +20,8 @@
 /// Time without a packet after which a flow that never opened is forgotten: a caller repeats its
 /// opening for less.
 const OPENING: Duration = Duration::from_secs(2);
+/// Time in which a VM that has started hears of the backend servers: a few of their periods.
+const LEARNING: Duration = Duration::from_secs(5);
 /// Time between two sweeps of what is old.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -81,13 +83,14 @@
     notes: Notes,
     /// Time between two announcements of a server.
     period: Duration,
+    started: Time,
     swept: Time,
 }
 
 impl Forwarder {
-    /// Returns the forwarder of a VM in `zone`, before servers that announce themselves once a
+    /// Returns the forwarder of a VM in `zone` that starts `now`, before servers that announce themselves once a
     /// `period`.
-    pub fn new(zone: Name, period: Duration) -> Forwarder {
+    pub fn new(now: Time, zone: Name, period: Duration) -> Forwarder {
         Forwarder {
             zone,
             plan: Arc::default(),
@@ -96,7 +99,8 @@
             evidence: Evidence::default(),
             notes: Notes::default(),
             period,
-            swept: Time::ZERO,
+            started: now,
+            swept: now,
         }
     }
 
@@ -170,7 +174,7 @@
         {
             return verdict;
         }
-        let Some(id) = self.place(now, &ends) else { return FlowVerdict::Reset };
+        let Some(id) = self.place(now, &ends) else { return self.unplaced(now, &ends) };
         let note = Note { tag: tag(id), opened: false, closed: false, at: now };
         self.notes.set(ends, note);
         self.forward(note.tag).unwrap_or(FlowVerdict::Reset)
@@ -194,6 +198,19 @@
         self.forward(note.tag)
     }
 
+    /// Returns what becomes of a flow that no server may take: its caller goes on at once, unless
+    /// this VM has just started and hears of servers before the caller repeats itself.
+    fn unplaced(&self, now: Time, ends: &Ends) -> FlowVerdict {
+        let shares = self.routes.get(&ends.1).into_iter().flat_map(|route| &route.shares);
+        let mut services = shares.map(|share| &share.service);
+        let known =
+            services.any(|service| self.directory.of_service(now, service).next().is_some());
+        match !known && now.since(self.started) < LEARNING {
+            true => FlowVerdict::Drop(DropReason::Early),
+            false => FlowVerdict::Reset,
+        }
+    }
+
     /// Returns the server of a new flow.
     fn place(&self, now: Time, ends: &Ends) -> Option<u64> {
         let route = self.routes.get(&ends.1)?;
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -53,6 +53,19 @@
         Registry { period, since: now, servers: BTreeMap::new() }
     }
 
+    /// Returns the registry with servers that were there before this VM was down; one that does
+    /// not announce itself again falls silent like any other.
+    #[must_use]
+    pub fn with_kept(mut self, records: Vec<ServerRecord>) -> Registry {
+        let heard = self.since;
+        let known = records.into_iter().map(|mut record| {
+            record.silent = false;
+            (record.announced.id, Known { record, heard, fresh: false })
+        });
+        self.servers.extend(known);
+        self
+    }
+
     /// Returns for how long the registry has heard announcements.
     pub fn age(&self, now: Time) -> Duration {
         now.since(self.since)
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -19,9 +19,9 @@
 use crate::{
     control::{
         ControlAction, ControlEvent, ControlNode, ControlStatus, Envelope, Fate, Past, Seat,
-        Signer, Submission, Write,
+        Signer, Submission,
     },
-    daemon::writer,
+    daemon::writer::{self, Job},
     error::{Error, Result},
     peer::Keys,
     rpc::{
@@ -193,7 +193,7 @@
 
 struct Shell {
     node: ControlNode,
-    writes: mpsc::UnboundedSender<(u64, Write)>,
+    writes: mpsc::UnboundedSender<Job>,
     epoch: u64,
     senders: BTreeMap<SocketAddr, mpsc::Sender<Envelope>>,
     /// Messages that came as answers to others.
@@ -309,7 +309,7 @@
     fn act(&mut self, action: ControlAction) {
         let (ticket, reply) = match action {
             ControlAction::Write(write) => {
-                _ = self.writes.send((self.epoch, write));
+                _ = self.writes.send(Job::Log(self.epoch, write));
                 return;
             }
             ControlAction::Send { to, envelope } => return self.send(to, envelope),
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -32,9 +32,9 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Time between two wake-ups after which packets may have waited for long: twice a tick.
 const STILL: Duration = Duration::from_millis(500);
-/// Time after which a VM that reaches no control VM with a quorum serves what it has: two
-/// elections.
-const UNCONFIRMED: Duration = Duration::from_millis(4_000);
+/// Time after which a VM that reaches no control VM with a quorum serves what it has: one has
+/// answered by then where any can be reached.
+const UNCONFIRMED: Duration = Duration::from_millis(600);
 /// Age of the registry from which on it names nearly every server, in periods of announcements.
 const COMPLETE: f64 = 1.5;
 /// Time for which a stopping VM forwards on: two probes of the fabric, half a second apart, and
@@ -128,7 +128,7 @@
     tokio::spawn(feeds.run(1));
     let now = now();
     let shell = Shell {
-        forwarder: Forwarder::new(settings.zone.clone(), settings.period),
+        forwarder: Forwarder::new(now, settings.zone.clone(), settings.period),
         form,
         socket,
         port: settings.packets.port(),
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -18,10 +18,11 @@
 const FRAME_LEN: usize = 8 << 20;
 /// Time in which a frame has to be answered; links across availability zones take some 10 ms.
 const ANSWER: Duration = Duration::from_millis(900);
-/// Time in which a connection has to be made.
-const CONNECT: Duration = Duration::from_millis(600);
+/// Time in which a connection has to be made: some 20 ms where both ends are there; a VM that
+/// has no power does not answer at all.
+const CONNECT: Duration = Duration::from_millis(250);
 /// Time between two tries to connect.
-const RETRY: Duration = Duration::from_millis(150);
+const RETRY: Duration = Duration::from_millis(100);
 /// Messages that wait for a link at most; more are lost as on the way.
 const QUEUE_LEN: usize = 256;
 /// Messages of one frame at most.
--- a/src/daemon/publish.rs
+++ b/src/daemon/publish.rs
@@ -1,6 +1,6 @@
 //! The feed of a control VM to entry VMs.
 
-use std::{collections::BTreeSet, io, sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use tokio::{
     net::TcpStream,
@@ -43,37 +43,57 @@
 pub(super) struct Publisher {
     queues: Vec<mpsc::Sender<Parcel<Encoded>>>,
     newest: watch::Sender<Newest>,
+    plan: Option<Arc<Plan>>,
+    /// The configuration that the plan was made from.
     whole: Option<Arc<Whole>>,
-    out: BTreeSet<Name>,
 }
 
 impl Publisher {
-    pub(super) fn new() -> Publisher {
-        let (queues, out) = (Vec::new(), BTreeSet::new());
-        Publisher { queues, newest: watch::Sender::new(Newest::default()), whole: None, out }
+    /// Returns a publisher that has `plan` from before this VM was down.
+    pub(super) fn new(plan: Option<Arc<Plan>>) -> Publisher {
+        let newest = watch::Sender::new(Newest::default());
+        let mut publisher = Publisher { queues: Vec::new(), newest, plan: None, whole: None };
+        if let Some(plan) = plan {
+            publisher.set(plan);
+        }
+        publisher
+    }
+
+    /// Returns the newest plan.
+    pub(super) fn plan(&self) -> Option<Arc<Plan>> {
+        self.plan.clone()
+    }
+
+    fn set(&mut self, plan: Arc<Plan>) {
+        let Plan { index, whole, out } = &*plan;
+        log::info!("event=plan index={index} number={} out={out:?}", whole.number);
+        let encoded = encode(&FeedMessage::Plan(plan.clone()));
+        self.newest.send_replace(Newest { index: *index, encoded });
+        self.plan = Some(plan);
     }
 
-    /// Publishes the plan of `state` where it differs from the last one.
-    pub(super) fn publish(&mut self, state: &State) {
+    /// Publishes the plan of `state` where it is newer than the last one and differs from it;
+    /// returns whether it does.
+    pub(super) fn publish(&mut self, state: &State) -> bool {
         let same = match (&state.whole, &self.whole) {
             (Some(new), Some(old)) => Arc::ptr_eq(new, old),
             (None, _) => true,
             (Some(_), None) => false,
         };
-        if same && state.zones_out.keys().eq(self.out.iter()) {
-            return;
-        }
-        self.whole = state.whole.clone();
-        self.out = state.zones_out.keys().cloned().collect();
-        let Some(whole) = &self.whole else { return };
+        let before = self.plan.as_deref();
+        let same_out = before.is_some_and(|plan| state.zones_out.keys().eq(plan.out.iter()));
+        let newer = before.is_none_or(|plan| state.index > plan.index);
+        let Some(whole) = state.whole.clone().filter(|_| newer && !(same && same_out)) else {
+            return false;
+        };
         let plan = Plan {
             index: state.index,
             whole: Arc::new(whole.without_source()),
-            out: self.out.clone(),
+            out: state.zones_out.keys().cloned().collect(),
         };
-        log::info!("event=plan index={} number={} out={:?}", plan.index, whole.number, plan.out);
-        let encoded = encode(&FeedMessage::Plan(Arc::new(plan)));
-        self.newest.send_replace(Newest { index: state.index, encoded });
+        self.whole = Some(whole);
+        self.set(Arc::new(plan));
+        true
     }
 
     /// Sends a message to every entry VM.
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -18,11 +18,11 @@
 use super::{
     link::{self, Answer, Parcel, PeerFrame},
     publish::{Publisher, Subscriber},
-    writer,
+    writer::{self, Job},
 };
 use crate::{
-    control::{ControlAction, ControlEvent, ControlNode, Envelope, Fate, Seat, Submission, Write},
-    cookie::{Announcement, ControlSeat, FeedMessage, Gossip, Heard, Registry, ServerRecord},
+    control::{ControlAction, ControlEvent, ControlNode, Envelope, Fate, Seat, Submission},
+    cookie::{Announcement, ControlSeat, FeedMessage, Gossip, Heard, Kept, Registry, ServerRecord},
     error::{Error, Result},
     name::Name,
     state::{Command, Outcome},
@@ -43,6 +43,8 @@
 /// Time in which another VM has to know of the end of a server: its announcement is answered
 /// within a second.
 const KNOWN: Duration = Duration::from_millis(700);
+/// Shortest time between two copies on disk of what entry VMs need.
+const KEEP: Duration = Duration::from_secs(2);
 /// Time without gossip after which a control VM that is no member is not named to entry VMs.
 const PRESENT: Duration = Duration::from_secs(6);
 
@@ -166,6 +168,7 @@
 /// Fails when the data folder is damaged or the address cannot be used.
 pub async fn start_registrar(settings: RegistrarSettings) -> Result<Registrar> {
     let (storage, recovered) = open(&settings).await?;
+    let kept: Kept = storage.kept().unwrap_or_default();
     let seat = Seat { name: settings.name.clone(), addr: settings.listen };
     log::info!(
         "event=start vm={} replica={} entries={} snapshot={}",
@@ -188,8 +191,8 @@
     tokio::spawn(accept(listener, calls.clone()));
     let (events, reports) = mpsc::unbounded_channel();
     let writes = writer::start(settings.data.clone(), storage, events);
-    let registry = Registry::new(Time::ZERO, settings.period);
-    let shell = Shell::new(settings, node, registry, writes);
+    let registry = Registry::new(Time::ZERO, settings.period).with_kept(kept.records);
+    let shell = Shell::new(settings, node, registry, Publisher::new(kept.plan), writes);
     tokio::spawn(shell.serve(requests, reports));
     Ok(Registrar { calls })
 }
@@ -254,7 +257,7 @@
     node: ControlNode,
     registry: Registry,
     publisher: Publisher,
-    writes: mpsc::UnboundedSender<(u64, Write)>,
+    writes: mpsc::UnboundedSender<Job>,
     epoch: u64,
     links: BTreeMap<SocketAddr, mpsc::Sender<Parcel<PeerFrame>>>,
     /// Control VMs that have sent gossip.
@@ -264,6 +267,9 @@
     /// Whether another control VM has told all that it knows.
     caught_up: bool,
     gossip_due: Time,
+    keep_due: Time,
+    /// Whether something has changed since it was kept.
+    changed: bool,
     beat_due: Time,
     origin: Instant,
 }
@@ -273,13 +279,14 @@
         settings: RegistrarSettings,
         node: ControlNode,
         registry: Registry,
-        writes: mpsc::UnboundedSender<(u64, Write)>,
+        publisher: Publisher,
+        writes: mpsc::UnboundedSender<Job>,
     ) -> Shell {
         Shell {
             settings,
             node,
             registry,
-            publisher: Publisher::new(),
+            publisher,
             writes,
             epoch: 0,
             links: BTreeMap::new(),
@@ -288,6 +295,8 @@
             ticket: 0,
             caught_up: false,
             gossip_due: Time::ZERO,
+            keep_due: Time::ZERO + KEEP,
+            changed: false,
             beat_due: Time::ZERO,
             origin: Instant::now(),
         }
@@ -309,7 +318,7 @@
                 },
                 _ = ticks.tick() => self.tick(),
             }
-            self.publisher.publish(self.node.state());
+            self.changed |= self.publisher.publish(self.node.state());
         }
     }
 
@@ -374,6 +383,7 @@
     /// Tells entry VMs and the other control VMs of changed servers; the receiver hears of each
     /// VM that has it.
     fn spread(&mut self, records: Vec<ServerRecord>) -> mpsc::Receiver<()> {
+        self.changed = true;
         let (sender, arrived) = mpsc::channel(1);
         let message = FeedMessage::Servers { all: false, records: records.clone() };
         self.publisher.send(&message, Some(&sender));
@@ -440,6 +450,7 @@
             }
         }
         if !changed.is_empty() {
+            self.changed = true;
             let message = FeedMessage::Servers { all: false, records: changed };
             self.publisher.send(&message, None);
         }
@@ -470,6 +481,7 @@
                 self.publisher.send(&message, None);
             }
         }
+        self.keep(now);
         if now >= self.beat_due {
             self.beat_due = now + BEAT;
             let beat = self.beat();
@@ -477,6 +489,18 @@
         }
     }
 
+    /// Keeps what entry VMs need on disk.
+    fn keep(&mut self, now: Time) {
+        if !self.changed || now < self.keep_due {
+            return;
+        }
+        self.changed = false;
+        self.keep_due = now + KEEP;
+        let records = self.registry.records().cloned().collect();
+        let kept = Kept { plan: self.publisher.plan(), records };
+        _ = self.writes.send(Job::Keep(Box::new(kept)));
+    }
+
     fn beat(&self) -> FeedMessage {
         let now = self.now();
         let seats = self.others().into_iter().map(|addr| {
@@ -507,7 +531,7 @@
 
     fn act(&mut self, action: ControlAction) {
         match action {
-            ControlAction::Write(write) => _ = self.writes.send((self.epoch, write)),
+            ControlAction::Write(write) => _ = self.writes.send(Job::Log(self.epoch, write)),
             ControlAction::Send { to, envelope } => self.send(to, envelope),
             ControlAction::Fate { ticket, fate } => {
                 if let Some(Waiter::Fate(reply)) = self.waiting.remove(&ticket) {
--- a/src/daemon/subscribe.rs
+++ b/src/daemon/subscribe.rs
@@ -26,7 +26,7 @@
 /// a half.
 const SILENCE: Duration = Duration::from_millis(2_500);
 /// Time between two tries to find a control VM.
-const RETRY: Duration = Duration::from_millis(200);
+const RETRY: Duration = Duration::from_millis(50);
 
 /// What reaches the entry VM from its feeds.
 pub(super) enum Fed {
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     control::{ControlEvent, FolderDisk, Identity, Recovered, Storage, Write},
+    cookie::Kept,
     error::Result,
 };
 
@@ -25,14 +26,20 @@
     })
 }
 
+/// What the thread writes.
+pub(super) enum Job {
+    /// A write of the log, of the replica after so many recoveries.
+    Log(u64, Write),
+    /// A copy of what entry VMs need, which may be lost.
+    Keep(Box<Kept>),
+}
+
 /// Starts the thread that writes; it reports each write when it is synced, in order.
-///
-/// Each write comes with the number of recoveries that its replica has seen.
 pub(super) fn start(
     folder: PathBuf,
     storage: Storage<FolderDisk>,
     events: mpsc::UnboundedSender<ControlEvent>,
-) -> mpsc::UnboundedSender<(u64, Write)> {
+) -> mpsc::UnboundedSender<Job> {
     let (sender, writes) = mpsc::unbounded_channel();
     tokio::task::spawn_blocking(move || write_all(&folder, storage, writes, &events));
     sender
@@ -41,11 +48,20 @@
 fn write_all(
     folder: &Path,
     mut storage: Storage<FolderDisk>,
-    mut writes: mpsc::UnboundedReceiver<(u64, Write)>,
+    mut writes: mpsc::UnboundedReceiver<Job>,
     events: &mpsc::UnboundedSender<ControlEvent>,
 ) {
     let mut epoch = 0;
-    while let Some((asked, write)) = writes.blocking_recv() {
+    while let Some(job) = writes.blocking_recv() {
+        let (asked, write) = match job {
+            Job::Log(asked, write) => (asked, write),
+            Job::Keep(kept) => {
+                if let Err(err) = storage.keep(&*kept) {
+                    log::warn!("event=not_kept reason={:?}", err.to_string());
+                }
+                continue;
+            }
+        };
         if asked != epoch {
             // It belongs to the replica that ended with the failure.
             continue;
