--- a/src/cookie.rs
+++ b/src/cookie.rs
@@ -16,6 +16,6 @@
 pub use balance::{Candidate, choose};
 pub use directory::{Directory, Usable};
 pub use feed::{ControlSeat, FeedMessage, Gossip, Kept, Plan};
-pub use forwarder::{DropReason, FlowVerdict, Forwarder, Head};
+pub use forwarder::{DropReason, FlowVerdict, Forwarder, Head, ResetReason};
 pub use record::{Announcement, ServerRecord, ServerState, tag};
 pub use registry::{Heard, Registry};
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -55,6 +55,17 @@
     Early,
 }
 
+/// Why a flow was reset.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ResetReason {
+    /// No route has its address and port.
+    NoRoute,
+    /// No server may take it.
+    NoServer,
+    /// Its server is gone.
+    ServerGone,
+}
+
 /// What to do with a packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FlowVerdict {
@@ -68,7 +79,7 @@
         cookie: u32,
     },
     /// Resets the flow, so that the caller goes on elsewhere at once.
-    Reset,
+    Reset(ResetReason),
     /// Drops it.
     Drop(DropReason),
 }
@@ -164,9 +175,10 @@
     }
 
     fn opening(&mut self, now: Time, head: &Head) -> FlowVerdict {
+        self.evidence.tick(now);
         let ends = (head.caller, head.route);
         if !self.routes.contains_key(&head.route) {
-            return FlowVerdict::Reset;
+            return FlowVerdict::Reset(ResetReason::NoRoute);
         }
         if head.repeats > 0
             && let Some(note) = self.notes.get(&ends)
@@ -177,7 +189,8 @@
         let Some(id) = self.place(now, &ends) else { return self.unplaced(now, &ends) };
         let note = Note { tag: tag(id), opened: false, closed: false, at: now };
         self.notes.set(ends, note);
-        self.forward(note.tag).unwrap_or(FlowVerdict::Reset)
+        self.evidence.asked(now, ends, id);
+        self.forward(note.tag).unwrap_or(FlowVerdict::Reset(ResetReason::NoServer))
     }
 
     /// Returns where a repeated opening goes: where the first went, unless that server does not
@@ -188,11 +201,8 @@
         if record.state == ServerState::Gone {
             return None;
         }
-        if !note.opened {
-            self.evidence.unanswered(now, id);
-            if self.evidence.is_suspect(now, id) {
-                return None;
-            }
+        if !note.opened && self.evidence.is_suspect(now, id) {
+            return None;
         }
         self.notes.set(ends, Note { at: now, ..note });
         self.forward(note.tag)
@@ -207,7 +217,7 @@
             services.any(|service| self.directory.of_service(now, service).next().is_some());
         match !known && now.since(self.started) < LEARNING {
             true => FlowVerdict::Drop(DropReason::Early),
-            false => FlowVerdict::Reset,
+            false => FlowVerdict::Reset(ResetReason::NoServer),
         }
     }
 
@@ -228,10 +238,16 @@
         // Where the chosen service has no server left, the others of the route are allowed too.
         let rest = route.shares.iter().filter(|share| share.weight > 0);
         let mut services = chosen.into_iter().chain(rest).map(|share| &share.service);
-        services.find_map(|service| choose(key, self.candidates(now, service)))
+        services.find_map(|service| choose(key, self.candidates(now, ends, service)))
     }
 
-    fn candidates(&self, now: Time, service: &Name) -> impl Iterator<Item = Candidate> {
+    fn candidates(
+        &self,
+        now: Time,
+        ends: &Ends,
+        service: &Name,
+    ) -> impl Iterator<Item = Candidate> {
+        let caller = *ends.0.ip();
         let servers = self.directory.of_service(now, service);
         servers.filter_map(move |(record, usable)| {
             let server = &record.announced;
@@ -239,7 +255,8 @@
             allowed.then(|| Candidate {
                 id: server.id,
                 near: server.zone == self.zone,
-                suspect: self.evidence.is_suspect(now, server.id),
+                suspect: self.evidence.is_suspect(now, server.id)
+                    || self.evidence.waits(caller, server.id),
                 flows: self.notes.open(tag(server.id)),
             })
         })
@@ -248,7 +265,7 @@
     fn following(&mut self, now: Time, head: &Head) -> FlowVerdict {
         let ends = (head.caller, head.route);
         if !self.routes.contains_key(&head.route) {
-            return FlowVerdict::Reset;
+            return FlowVerdict::Reset(ResetReason::NoRoute);
         }
         let noted = self.notes.get(&ends);
         // The cookie of a flow that was seen open here cannot change.
@@ -261,11 +278,11 @@
             return FlowVerdict::Drop(DropReason::Unknown);
         };
         if record.state == ServerState::Gone {
-            return FlowVerdict::Reset;
+            return FlowVerdict::Reset(ResetReason::ServerGone);
         }
         let id = record.announced.id;
         if noted.is_none_or(|note| !note.opened) {
-            self.evidence.answered(id);
+            self.evidence.answered(&ends, id);
         }
         let closed = head.ends || noted.is_some_and(|note| note.closed && note.tag == tag);
         self.notes.set(ends, Note { tag, opened: true, closed, at: now });
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -152,7 +152,8 @@
         let mut changed = Vec::new();
         for known in self.servers.values_mut() {
             let before = known.record.clone();
-            known.record.silent = sure && now.since(known.heard) >= limit;
+            let ended = known.record.state == ServerState::Gone;
+            known.record.silent = !ended && sure && now.since(known.heard) >= limit;
             let own = &known.record.announced;
             if latest.get(&own.addr).is_some_and(|&(born, id)| born > own.born && id != own.id) {
                 known.record.state = ServerState::Gone;
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -37,6 +37,9 @@
 const UNCONFIRMED: Duration = Duration::from_millis(600);
 /// Age of the registry from which on it names nearly every server, in periods of announcements.
 const COMPLETE: f64 = 1.5;
+/// Lines on single packets between two ticks at most: 40 a second take less than a thousandth of
+/// a small core.
+const LINES: u32 = 10;
 /// Time for which a stopping VM forwards on: two probes of the fabric, half a second apart, and
 /// what is on its way.
 const LEAVING: Duration = Duration::from_millis(1_800);
@@ -139,6 +142,8 @@
         woken: now,
         reported: now,
         counts: Counts::default(),
+        lines: 0,
+        suppressed: 0,
         out: Vec::with_capacity(PACKET_LEN),
     };
     tokio::spawn(shell.serve(messages));
@@ -177,6 +182,9 @@
     woken: Time,
     reported: Time,
     counts: Counts,
+    /// Lines on packets since the last tick, and those left out since the start.
+    lines: u32,
+    suppressed: u64,
     out: Vec<u8>,
 }
 
@@ -235,12 +243,16 @@
                 self.counts.forwarded += 1;
                 self.send(SocketAddr::V4(to));
             }
-            FlowVerdict::Reset => {
+            FlowVerdict::Reset(reason) => {
                 self.form.reset(packet, &mut self.out);
                 self.counts.reset += 1;
+                self.report(&head, format_args!("event=reset reason={reason:?}"));
                 self.send(SocketAddr::V4(SocketAddrV4::new(*head.caller.ip(), self.port)));
             }
-            FlowVerdict::Drop(reason) => *self.counts.of(reason) += 1,
+            FlowVerdict::Drop(reason) => {
+                *self.counts.of(reason) += 1;
+                self.report(&head, format_args!("event=drop reason={reason:?}"));
+            }
         }
     }
 
@@ -250,6 +262,21 @@
         }
     }
 
+    /// Logs what became of a packet, within [`LINES`].
+    fn report(&mut self, head: &Head, what: std::fmt::Arguments<'_>) {
+        if self.lines >= LINES {
+            self.suppressed += 1;
+            return;
+        }
+        self.lines += 1;
+        let Head { caller, route, opens, repeats, cookie, .. } = head;
+        let index = self.forwarder.plan().index;
+        log::info!(
+            "{what} caller={caller} route={route} opens={opens} repeats={repeats} \
+             cookie={cookie:08x} plan={index}"
+        );
+    }
+
     fn fed(&mut self, fed: Fed) {
         let now = now();
         match fed {
@@ -287,9 +314,15 @@
         let now = now();
         self.woken = self.woken.max(now);
         self.forwarder.tick(now);
+        self.lines = 0;
         if now.since(self.reported) >= REPORT {
             self.reported = now;
-            log::info!("event=counts flows={} {:?}", self.forwarder.flows(), self.counts);
+            log::info!(
+                "event=counts flows={} suppressed={} {:?}",
+                self.forwarder.flows(),
+                self.suppressed,
+                self.counts
+            );
         }
     }
 }
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -119,20 +119,22 @@
     Ok(if answer == Answer::Wants as u8 { Answer::Wants } else { Answer::Has })
 }
 
-/// Starts a link that carries messages to a control VM.
-pub(super) fn start(to: SocketAddr) -> mpsc::Sender<Parcel<PeerFrame>> {
+/// Starts a link that carries messages to a control VM; `reached` hears of each connection.
+pub(super) fn start(
+    to: SocketAddr,
+    reached: mpsc::UnboundedSender<SocketAddr>,
+) -> mpsc::Sender<Parcel<PeerFrame>> {
     let (sender, mut parcels) = mpsc::channel(QUEUE_LEN);
     tokio::spawn(async move {
         let mut batch = Vec::new();
-        let mut reached = true;
+        let mut lost = false;
         while parcels.recv_many(&mut batch, BATCH).await > 0 {
-            let result = carry(to, &mut parcels, &mut batch).await;
+            let result = carry(to, &reached, &mut lost, &mut parcels, &mut batch).await;
             if let Err(err) = result
-                && reached
+                && !std::mem::replace(&mut lost, true)
             {
-                log::warn!("event=peer_lost peer={to} reason={err:?}");
+                log::warn!("event=peer_lost peer={to} reason={:?}", err.to_string());
             }
-            reached = false;
             // What waits for a VM out of reach is out of date by the time it is back.
             batch.clear();
             while parcels.try_recv().is_ok() {}
@@ -145,11 +147,16 @@
 /// Carries messages over one connection until it fails.
 async fn carry(
     to: SocketAddr,
+    reached: &mpsc::UnboundedSender<SocketAddr>,
+    lost: &mut bool,
     parcels: &mut mpsc::Receiver<Parcel<PeerFrame>>,
     batch: &mut Vec<Parcel<PeerFrame>>,
 ) -> io::Result<()> {
     let mut stream = connect(to, &Opening::Peer).await?;
+    *lost = false;
     log::info!("event=peer_reached peer={to}");
+    // The shell has ended where nobody listens.
+    _ = reached.send(to);
     loop {
         let mut waiting = Vec::new();
         let mut messages = Vec::new();
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -192,8 +192,10 @@
     let (events, reports) = mpsc::unbounded_channel();
     let writes = writer::start(settings.data.clone(), storage, events);
     let registry = Registry::new(Time::ZERO, settings.period).with_kept(kept.records);
-    let shell = Shell::new(settings, node, registry, Publisher::new(kept.plan), writes);
-    tokio::spawn(shell.serve(requests, reports));
+    let publisher = Publisher::new(kept.plan);
+    let (reached, connections) = mpsc::unbounded_channel();
+    let shell = Shell::new(settings, node, registry, publisher, reached, writes);
+    tokio::spawn(shell.serve(requests, reports, connections));
     Ok(Registrar { calls })
 }
 
@@ -260,6 +262,8 @@
     writes: mpsc::UnboundedSender<Job>,
     epoch: u64,
     links: BTreeMap<SocketAddr, mpsc::Sender<Parcel<PeerFrame>>>,
+    /// Hears of each connection of a link.
+    reached: mpsc::UnboundedSender<SocketAddr>,
     /// Control VMs that have sent gossip.
     peers: BTreeMap<SocketAddr, Peer>,
     waiting: BTreeMap<u64, Waiter>,
@@ -280,6 +284,7 @@
         node: ControlNode,
         registry: Registry,
         publisher: Publisher,
+        reached: mpsc::UnboundedSender<SocketAddr>,
         writes: mpsc::UnboundedSender<Job>,
     ) -> Shell {
         Shell {
@@ -290,6 +295,7 @@
             writes,
             epoch: 0,
             links: BTreeMap::new(),
+            reached,
             peers: BTreeMap::new(),
             waiting: BTreeMap::new(),
             ticket: 0,
@@ -306,12 +312,14 @@
         mut self,
         mut requests: mpsc::Receiver<Call>,
         mut reports: mpsc::UnboundedReceiver<ControlEvent>,
+        mut connections: mpsc::UnboundedReceiver<SocketAddr>,
     ) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 Some(event) = reports.recv() => self.event(event),
+                Some(peer) = connections.recv() => self.tell_all(peer),
                 call = requests.recv() => match call {
                     Some(call) => self.take(call),
                     None => return,
@@ -361,7 +369,9 @@
         let record = self.registry.get(id).filter(|_| heard != Heard::Late).cloned();
         match record {
             Some(record) if heard == Heard::Changed || draining => {
-                log_record("announced", &record);
+                if heard == Heard::Changed {
+                    log_record("announced", &record);
+                }
                 let arrived = self.spread(vec![record]);
                 confirm(arrived, draining, reply);
             }
@@ -407,7 +417,7 @@
     }
 
     fn post(&mut self, to: SocketAddr, parcel: Parcel<PeerFrame>) {
-        let link = self.links.entry(to).or_insert_with(|| link::start(to));
+        let link = self.links.entry(to).or_insert_with(|| link::start(to, self.reached.clone()));
         // A full queue loses the message, as the way there may.
         _ = link.try_send(parcel);
     }
@@ -459,14 +469,18 @@
             self.caught_up = true;
         }
         if asks {
-            let age = Some(self.registry.age(now));
-            let records = self.registry.records().cloned().collect();
-            let gossip = Gossip { from: self.seat(), asks: false, age, records };
-            let parcel = Parcel { message: PeerFrame::Gossip(gossip), arrived: None };
-            self.post(from.addr, parcel);
+            self.tell_all(from.addr);
         }
     }
 
+    /// Tells a control VM all that is known; what was told before it was reached may be lost.
+    fn tell_all(&mut self, to: SocketAddr) {
+        let age = Some(self.registry.age(self.now()));
+        let records = self.registry.records().cloned().collect();
+        let gossip = Gossip { from: self.seat(), asks: false, age, records };
+        self.post(to, Parcel { message: PeerFrame::Gossip(gossip), arrived: None });
+    }
+
     fn tick(&mut self) {
         let now = self.now();
         self.event(ControlEvent::Tick);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,8 +75,8 @@
     },
     cookie::{
         Announcement, Candidate, ControlSeat, Directory, DropReason, FeedMessage, FlowVerdict,
-        Forwarder, Gossip, Head, Heard, Kept, Plan, Registry, ServerRecord, ServerState, Usable,
-        choose, tag,
+        Forwarder, Gossip, Head, Heard, Kept, Plan, Registry, ResetReason, ServerRecord,
+        ServerState, Usable, choose, tag,
     },
     counter::{Counter, Counters},
     ctl::run_ctl,
--- /dev/null
+++ b/tests/support/cookie.rs
@@ -0,0 +1,96 @@
+//! Servers, plans and packets for tests of forwarding by cookie.
+
+use std::{
+    collections::BTreeSet,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
+
+use galenatrail::{
+    Announcement, FeedMessage, FlowVerdict, Forwarder, Head, Plan, Route, ServerRecord, Share,
+    Time, Warmup, Whole,
+};
+
+pub(crate) const PERIOD: Duration = Duration::from_millis(1_200);
+pub(crate) const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// The control VM of the feed.
+pub(crate) fn source() -> SocketAddr {
+    "127.0.1.1:7720".parse().unwrap()
+}
+
+pub(crate) fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+pub(crate) fn announced(id: u64, zone: &str) -> Announcement {
+    Announcement {
+        id,
+        service: "hub".into(),
+        addr: SocketAddrV4::new(Ipv4Addr::new(10, 1, 64, id as u8), 8_080),
+        zone: zone.into(),
+        draining: false,
+        cold: Duration::ZERO,
+        born: 1_000,
+        sequence: 1,
+    }
+}
+
+pub(crate) fn plan(index: u64, out: &[&str]) -> Arc<Plan> {
+    let share = Share { service: "hub".into(), weight: 1 };
+    let route = Route {
+        addr: *ROUTE.ip(),
+        port: ROUTE.port(),
+        timeout: Duration::from_secs(1),
+        shares: vec![share],
+    };
+    let warmup = Warmup { time: Duration::from_secs(2), rate: 0 };
+    let whole = Whole {
+        number: index,
+        idle: Duration::from_secs(15),
+        routes: vec![route],
+        services: [("hub".into(), warmup)].into(),
+        source: Arc::default(),
+    };
+    let out: BTreeSet<_> = out.iter().map(|zone| (*zone).into()).collect();
+    Arc::new(Plan { index, whole: Arc::new(whole), out })
+}
+
+/// Returns a forwarder in zone `a` that knows `servers`.
+pub(crate) fn forwarder(servers: &[Announcement]) -> Forwarder {
+    let mut forwarder = Forwarder::new(Time::ZERO, "a".into(), PERIOD);
+    forwarder.fed(Time::ZERO, source(), FeedMessage::Plan(plan(1, &[])));
+    learn(&mut forwarder, Time::ZERO, servers.to_vec());
+    forwarder
+}
+
+pub(crate) fn learn(forwarder: &mut Forwarder, now: Time, servers: Vec<Announcement>) {
+    let records = servers.into_iter().map(ServerRecord::new).collect();
+    forwarder.fed(now, source(), FeedMessage::Servers { all: false, records });
+}
+
+/// Returns the opening packet of the caller at `host` and `port`.
+pub(crate) fn opening(host: u8, port: u16) -> Head {
+    Head {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, host), port),
+        route: ROUTE,
+        opens: true,
+        repeats: 0,
+        ends: false,
+        cookie: 0,
+    }
+}
+
+/// Returns a later packet of the same flow.
+pub(crate) fn following(opening: Head, cookie: u32) -> Head {
+    Head { opens: false, cookie, ..opening }
+}
+
+#[track_caller]
+pub(crate) fn sent(verdict: FlowVerdict) -> (u64, u32) {
+    match verdict {
+        FlowVerdict::Forward { id, cookie, .. } => (id, cookie),
+        other => panic!("not sent on: {other:?}"),
+    }
+}
