--- a/src/standin/replicas.rs
+++ b/src/standin/replicas.rs
@@ -67,6 +67,8 @@
     /// Broken invariants.
     pub violations: Vec<String>,
     voters: BTreeMap<Name, SocketAddr>,
+    /// Voters that are wanted, whoever they are, or 0.
+    places: usize,
     vms: BTreeMap<Name, Vm>,
     queue: BTreeMap<(Time, u64), Due>,
     now: Time,
@@ -94,6 +96,7 @@
             entries: BTreeMap::new(),
             violations: Vec::new(),
             voters: voters.collect(),
+            places: 0,
             vms: BTreeMap::new(),
             queue: BTreeMap::new(),
             now: Time::ZERO,
@@ -110,6 +113,14 @@
         replicas
     }
 
+    /// Lets every VM, as the leader, fill `count` places of voters with whom it finds.
+    pub fn set_places(&mut self, count: usize) {
+        self.places = count;
+        for vm in self.vms.values_mut() {
+            vm.node = vm.node.take().map(|node| node.with_voters(count));
+        }
+    }
+
     /// Starts a VM that observes.
     pub fn add_observer(&mut self, name: &str, host: u8) {
         let addr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 1, host)), PORT);
@@ -181,13 +192,14 @@
     pub fn start(&mut self, vm: &str) {
         let fresh = Identity::new(self.rng.random());
         let voters = self.voters.clone();
-        let now = self.now;
+        let (now, places) = (self.now, self.places);
         let Some(vm) = self.vms.get_mut(vm).filter(|vm| vm.node.is_none()) else { return };
         match Storage::open(vm.disk.clone()).recover(fresh) {
             Ok((storage, recovered)) => {
                 vm.storage = Some(storage);
                 vm.checked = recovered.snapshot.mark.index;
-                vm.node = ControlNode::new(now, vm.seat.clone(), recovered, voters).ok();
+                let node = ControlNode::new(now, vm.seat.clone(), recovered, voters);
+                vm.node = node.ok().map(|node| node.with_voters(places));
             }
             Err(err) if err.is_storage() => {
                 self.violations.push(format!("{} does not start: {err}", vm.seat.name));
--- /dev/null
+++ b/tests/registry_rules.rs
@@ -0,0 +1,137 @@
+//! The registry of backend servers: which news counts, and when a server is silent or gone.
+
+use std::time::Duration;
+
+use galenatrail::{Heard, Registry, ServerRecord, ServerState, Time};
+use proptest::prelude::*;
+
+#[path = "support/cookie.rs"]
+mod cookie;
+
+use cookie::{PERIOD, announced, at};
+
+fn registry() -> Registry {
+    Registry::new(Time::ZERO, PERIOD)
+}
+
+#[test]
+fn only_later_announcements_count() {
+    let mut registry = registry();
+    let mut third = announced(1, "a");
+    third.sequence = 3;
+    third.draining = true;
+    assert_eq!(registry.announce(at(10), third), Heard::Changed);
+    assert_eq!(registry.announce(at(20), announced(1, "a")), Heard::Late);
+    assert_eq!(registry.get(1).unwrap().state, ServerState::Draining);
+    let mut reborn = announced(1, "a");
+    reborn.born += 1;
+    assert_eq!(registry.announce(at(30), reborn), Heard::Changed);
+    assert_eq!(registry.get(1).unwrap().state, ServerState::Ready);
+}
+
+#[test]
+fn a_late_announcement_does_not_bring_back_a_server_that_has_left() {
+    let mut registry = registry();
+    registry.announce(at(10), announced(1, "a"));
+    registry.leave(at(20), 1);
+    let mut late = announced(1, "a");
+    late.sequence = 9;
+    assert_eq!(registry.announce(at(30), late), Heard::Late);
+    assert_eq!(registry.get(1).unwrap().state, ServerState::Gone);
+}
+
+#[test]
+fn a_server_whose_address_went_to_a_later_one_is_gone() {
+    let mut registry = registry();
+    registry.announce(at(10), announced(1, "a"));
+    let mut next = announced(2, "a");
+    next.addr = announced(1, "a").addr;
+    next.born += 1;
+    registry.announce(at(20), next);
+    registry.tick(at(30));
+    assert_eq!(registry.get(1).unwrap().state, ServerState::Gone);
+    // An announcement that was held up by a cut arrives after that.
+    let mut late = announced(1, "a");
+    late.sequence = 2;
+    registry.announce(at(40), late);
+    assert_eq!(registry.get(1).unwrap().state, ServerState::Gone);
+    assert_eq!(registry.get(2).unwrap().state, ServerState::Ready);
+}
+
+#[test]
+fn a_server_falls_silent_after_three_periods_and_comes_back() {
+    let mut registry = registry();
+    registry.announce(at(0), announced(1, "a"));
+    let limit = (PERIOD * 3).as_millis() as u64;
+    assert!(registry.tick(at(limit - 1)).is_empty());
+    let silent = registry.tick(at(limit));
+    assert!(silent.iter().all(|record| record.silent) && silent.len() == 1);
+    let mut next = announced(1, "a");
+    next.sequence = 2;
+    assert_eq!(registry.announce(at(limit + 10), next), Heard::Changed);
+    assert!(!registry.get(1).unwrap().silent);
+}
+
+#[test]
+fn a_registry_that_has_just_begun_to_hear_calls_nobody_silent() {
+    let kept = vec![ServerRecord::new(announced(1, "a"))];
+    let mut registry = Registry::new(at(60_000), PERIOD).with_kept(kept);
+    assert!(registry.tick(at(60_000 + 3_599)).is_empty());
+    assert_eq!(registry.tick(at(60_000 + 3_600)).len(), 1);
+}
+
+#[test]
+fn other_control_vms_are_told_once_of_what_was_heard_here() {
+    let (mut first, mut second) = (registry(), registry());
+    first.announce(at(10), announced(1, "a"));
+    let told = first.take_fresh();
+    assert_eq!(told.len(), 1);
+    assert!(first.take_fresh().is_empty());
+    for record in told {
+        assert_eq!(second.gossip(at(20), record), Heard::Changed);
+    }
+    assert!(second.take_fresh().is_empty(), "news goes one step only");
+}
+
+#[test]
+fn an_age_that_another_control_vm_tells_counts() {
+    let mut registry = Registry::new(at(10_000), PERIOD);
+    registry.inherit(at(10_100), Duration::from_secs(5));
+    assert_eq!(registry.age(at(10_100)), Duration::from_secs(5));
+    registry.inherit(at(10_100), Duration::from_secs(1));
+    assert_eq!(registry.age(at(10_100)), Duration::from_secs(5));
+}
+
+proptest! {
+    /// Two control VMs that hear the same news in any order know the same in the end.
+    #[test]
+    fn the_order_of_news_does_not_matter(
+        news in proptest::collection::vec((1_u64..4, 1_u64..4, 1_u64..6), 1..40),
+        seed in any::<u64>(),
+    ) {
+        let records: Vec<_> = news.iter().map(|&(id, born, sequence)| {
+            // What a server says under one number is always the same.
+            let mut announced = announced(id, "a");
+            announced.born = born;
+            announced.sequence = sequence;
+            announced.draining = (born ^ sequence).is_multiple_of(3);
+            ServerRecord::new(announced)
+        }).collect();
+        let mut shuffled = records.clone();
+        let len = shuffled.len() as u64;
+        for place in 0..shuffled.len() {
+            shuffled.swap(place, ((seed >> (place % 32)) % len) as usize);
+        }
+        let (mut first, mut second) = (registry(), registry());
+        for record in records {
+            first.gossip(at(10), record);
+        }
+        for record in shuffled {
+            second.gossip(at(10), record);
+        }
+        first.tick(at(20));
+        second.tick(at(20));
+        let all = |registry: &Registry| registry.records().cloned().collect::<Vec<_>>();
+        prop_assert_eq!(all(&first), all(&second));
+    }
+}
--- /dev/null
+++ b/tests/voter_places.rs
@@ -0,0 +1,80 @@
+//! Where a number of voters is wanted, whoever they are: observers take the places of lost ones.
+
+use std::time::Duration;
+
+use galenatrail::standin::Replicas;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn voters(replicas: &Replicas) -> Vec<String> {
+    let Some(leader) = replicas.leader() else { return Vec::new() };
+    let members = replicas.node(&leader).unwrap().replica().members();
+    let mut names: Vec<_> = members.voters.values().map(|seat| seat.name.to_string()).collect();
+    names.sort();
+    names
+}
+
+/// Returns three voters and an observer.
+fn formed(seed: u64) -> Replicas {
+    let mut replicas = Replicas::new(seed, 3);
+    replicas.set_places(3);
+    assert!(replicas.run_until(LIMIT, Replicas::is_whole), "no log was formed");
+    replicas.add_observer("spare-1", 9);
+    replicas.run(Duration::from_secs(4));
+    assert_eq!(voters(&replicas), ["control-1", "control-2", "control-3"]);
+    replicas
+}
+
+#[test]
+fn an_observer_takes_the_place_of_a_voter_that_is_gone_for_good() {
+    for seed in 1..10 {
+        let mut replicas = formed(seed);
+        let gone = format!("control-{}", seed % 3 + 1);
+        replicas.crash(&gone, 0);
+        let replaced = |replicas: &Replicas| {
+            let names = voters(replicas);
+            names.len() == 3 && !names.contains(&gone)
+        };
+        assert!(replicas.run_until(LIMIT, replaced), "seed {seed}: {:?}", voters(&replicas));
+        assert_eq!(replicas.violations, Vec::<String>::new());
+    }
+}
+
+#[test]
+fn a_short_absence_costs_no_voter_its_place() {
+    let mut replicas = formed(20);
+    replicas.crash("control-2", 0);
+    replicas.run(Duration::from_secs(2));
+    replicas.start("control-2");
+    replicas.run(Duration::from_secs(6));
+    assert_eq!(voters(&replicas), ["control-1", "control-2", "control-3"]);
+}
+
+#[test]
+fn a_voter_that_was_replaced_while_it_was_cut_off_comes_back_as_an_observer() {
+    for seed in 30..36 {
+        let mut replicas = formed(seed);
+        let leader = replicas.leader().unwrap();
+        let cut = replicas.names().into_iter().find(|name| *name != leader).unwrap();
+        replicas.cuts.insert(cut.clone());
+        replicas.run(Duration::from_secs(12));
+        assert!(!voters(&replicas).contains(&cut.to_string()), "seed {seed}");
+        replicas.cuts.clear();
+        replicas.run(Duration::from_secs(12));
+        let leader = replicas.leader().unwrap();
+        let members = replicas.node(&leader).unwrap().replica().members();
+        assert!(members.all().any(|(_, seat)| seat.name == cut), "seed {seed}: {members:?}");
+        assert_eq!(replicas.violations, Vec::<String>::new());
+    }
+}
+
+#[test]
+fn a_wiped_voter_makes_no_log_of_its_own() {
+    let mut replicas = formed(40);
+    let before = replicas.node("control-1").unwrap().replica().me();
+    replicas.wipe("control-1");
+    replicas.start("control-1");
+    assert!(replicas.run_until(LIMIT, Replicas::is_whole));
+    assert_ne!(replicas.node("control-1").unwrap().replica().me(), before);
+    assert_eq!(replicas.violations, Vec::<String>::new());
+}
