--- a/tests/support/cookie.rs
+++ b/tests/support/cookie.rs
@@ -1,5 +1,8 @@
 //! Servers, plans and packets for tests of forwarding by cookie.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::{
     collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
