--- a/tests/voter_places.rs
+++ b/tests/voter_places.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use galenatrail::standin::Replicas;
+use galenatrail::{Command, Fate, Outcome, Submission, standin::Replicas};
 
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -78,3 +78,35 @@
     assert_ne!(replicas.node("control-1").unwrap().replica().me(), before);
     assert_eq!(replicas.violations, Vec::<String>::new());
 }
+
+#[test]
+fn five_places_filled_from_three_seeds_bear_the_loss_of_two_disks_and_all_power() {
+    for seed in 50..56 {
+        let mut replicas = Replicas::new(seed, 3);
+        replicas.set_places(5);
+        replicas.add_observer("spare-1", 9);
+        replicas.add_observer("spare-2", 10);
+        replicas.add_observer("spare-3", 11);
+        let filled = |replicas: &Replicas| voters(replicas).len() == 5;
+        assert!(replicas.run_until(LIMIT, filled), "seed {seed}: {:?}", voters(&replicas));
+        let command = Command::Zone { zone: "plovdiv".into(), out: true };
+        let ticket = replicas.submit("control-1", Submission::new(command));
+        let done = |replicas: &Replicas| replicas.fates.contains_key(&ticket);
+        assert!(replicas.run_until(LIMIT, done));
+        assert!(matches!(replicas.fates[&ticket], Fate::Ordered(Outcome::Accepted { .. })));
+        let lost = voters(&replicas).split_off(3);
+        for vm in replicas.names() {
+            replicas.crash(&vm, 0);
+        }
+        lost.iter().for_each(|vm| replicas.wipe(vm));
+        for vm in replicas.names() {
+            replicas.start(&vm);
+        }
+        let held = |replicas: &Replicas| {
+            let leader = replicas.leader();
+            let node = leader.and_then(|leader| replicas.node(&leader));
+            node.is_some_and(|node| node.state().zones_out.contains_key("plovdiv"))
+        };
+        assert!(replicas.run_until(LIMIT, held), "seed {seed}");
+    }
+}
