--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -22,6 +22,9 @@
 const OPENING: Duration = Duration::from_secs(2);
 /// Time in which a VM that has started hears of the backend servers: a few of their periods.
 const LEARNING: Duration = Duration::from_secs(5);
+/// Time after which an opening counts as unanswered when it is repeated: callers repeat theirs
+/// after 200 ms, and copies that have waited here together are no sign of the server.
+const UNANSWERED: Duration = Duration::from_millis(150);
 /// Time between two sweeps of what is old.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -180,28 +183,31 @@
         if !self.routes.contains_key(&head.route) {
             return FlowVerdict::Reset(ResetReason::NoRoute);
         }
-        if head.repeats > 0
-            && let Some(note) = self.notes.get(&ends)
-            && let Some(verdict) = self.repeated(now, ends, note)
-        {
+        let first = self.notes.get(&ends).filter(|_| head.repeats > 0);
+        if let Some(verdict) = first.and_then(|note| self.repeated(now, ends, note)) {
             return verdict;
         }
-        let Some(id) = self.place(now, &ends) else { return self.unplaced(now, &ends) };
+        let avoid = first.map(|note| note.tag);
+        let Some(id) = self.place(now, &ends, avoid) else { return self.unplaced(now, &ends) };
         let note = Note { tag: tag(id), opened: false, closed: false, at: now };
         self.notes.set(ends, note);
         self.evidence.asked(now, ends, id);
         self.forward(note.tag).unwrap_or(FlowVerdict::Reset(ResetReason::NoServer))
     }
 
-    /// Returns where a repeated opening goes: where the first went, unless that server does not
-    /// answer others either.
+    /// Returns where a repeated opening goes: where the first went, unless that server has had the
+    /// time to answer.
+    ///
+    /// Two servers may then answer, and the flow opens at the one whose answer the caller takes;
+    /// its note keeps it there.
     fn repeated(&mut self, now: Time, ends: Ends, note: Note) -> Option<FlowVerdict> {
         let record = self.directory.by_tag(note.tag)?;
         let id = record.announced.id;
         if record.state == ServerState::Gone {
             return None;
         }
-        if !note.opened && self.evidence.is_suspect(now, id) {
+        let unanswered = now.since(note.at) >= UNANSWERED || self.evidence.is_suspect(now, id);
+        if !note.opened && unanswered {
             return None;
         }
         self.notes.set(ends, Note { at: now, ..note });
@@ -221,8 +227,8 @@
         }
     }
 
-    /// Returns the server of a new flow.
-    fn place(&self, now: Time, ends: &Ends) -> Option<u64> {
+    /// Returns the server of a new flow, one of another tag than `avoid` where there is one.
+    fn place(&self, now: Time, ends: &Ends, avoid: Option<u32>) -> Option<u64> {
         let route = self.routes.get(&ends.1)?;
         let key = key(ends);
         let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
@@ -238,7 +244,7 @@
         // Where the chosen service has no server left, the others of the route are allowed too.
         let rest = route.shares.iter().filter(|share| share.weight > 0);
         let mut services = chosen.into_iter().chain(rest).map(|share| &share.service);
-        services.find_map(|service| choose(key, self.candidates(now, ends, service)))
+        services.find_map(|service| choose(key, self.candidates(now, ends, service, avoid)))
     }
 
     fn candidates(
@@ -246,6 +252,7 @@
         now: Time,
         ends: &Ends,
         service: &Name,
+        avoid: Option<u32>,
     ) -> impl Iterator<Item = Candidate> {
         let caller = *ends.0.ip();
         let servers = self.directory.of_service(now, service);
@@ -255,7 +262,8 @@
             allowed.then(|| Candidate {
                 id: server.id,
                 near: server.zone == self.zone,
-                suspect: self.evidence.is_suspect(now, server.id)
+                suspect: avoid == Some(tag(server.id))
+                    || self.evidence.is_suspect(now, server.id)
                     || self.evidence.waits(caller, server.id),
                 flows: self.notes.open(tag(server.id)),
             })
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -42,6 +42,42 @@
     /// Datagrams and commands that a full buffer or an unknown receiver lost.
     DatagramsUnsent => "datagrams_unsent",
 
+    // Flow cookies.
+    /// Flows whose opening packet was sent on to a backend server.
+    FlowsOpened => "flows_opened",
+    /// Openings that were sent on to another backend server than before, or again.
+    FlowsRepeated => "flows_repeated",
+    /// Flows reset because no route has their address and port.
+    FlowsResetUnrouted => "flows_reset_unrouted",
+    /// Flows reset because no backend server may take them.
+    FlowsResetUnserved => "flows_reset_unserved",
+    /// Flows reset because their backend server is gone.
+    FlowsResetGone => "flows_reset_gone",
+    /// Packets dropped because they carry no cookie.
+    PacketsUncookied => "packets_uncookied",
+    /// Packets dropped because their cookie stands for no backend server that is known.
+    PacketsUntagged => "packets_untagged",
+    /// Opening packets dropped because they waited while the VM stood still.
+    PacketsStale => "packets_stale",
+    /// Log lines left out because of their bound.
+    LinesSuppressed => "lines_suppressed",
+
+    // Registry of backend servers.
+    /// Announcements that entry VMs had to know of.
+    AnnouncementsChanged => "announcements_changed",
+    /// Announcements that said nothing new.
+    AnnouncementsSame => "announcements_same",
+    /// Announcements older than what was known.
+    AnnouncementsLate => "announcements_late",
+    /// Ends of backend servers that no other VM confirmed in time.
+    AnnouncementsUnconfirmed => "announcements_unconfirmed",
+    /// Backend servers that fell silent.
+    ServersSilent => "servers_silent",
+    /// Reads answered with what is in force.
+    ReadsConfirmed => "reads_confirmed",
+    /// Reads refused because a newer configuration may be in force.
+    ReadsUnsure => "reads_unsure",
+
     // Tracked flows.
     /// Packets of moving buckets passed to the bucket's owner.
     PacketsRelayed => "packets_relayed",
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -161,7 +161,7 @@
     let handle = server.start(Api { calls, signer: signer.clone() }.into_rpc());
     let (events, reports) = mpsc::unbounded_channel();
     let (answers, answered) = mpsc::channel(QUEUE_LEN);
-    let writes = writer::start(settings.data.clone(), storage, events);
+    let writes = writer::start(settings.data.clone(), storage, events, None);
     let shell = Shell {
         node,
         writes,
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -14,11 +14,13 @@
 };
 
 use super::{
+    metrics::{self, Latency, Level, Metrics},
     packets,
     subscribe::{Fed, Feeds, Known},
 };
 use crate::{
-    cookie::{DropReason, FeedMessage, FlowVerdict, Forwarder, Head},
+    cookie::{DropReason, FeedMessage, FlowVerdict, Forwarder, Head, ResetReason},
+    counter::{Counter, Counters},
     error::{Error, Result},
     name::Name,
     time::Time,
@@ -71,6 +73,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Time between two announcements of a backend server.
     pub period: Duration,
+    /// Where metrics are read, if anywhere (HTTP).
+    pub metrics: Option<SocketAddr>,
 }
 
 /// A running entry VM.
@@ -129,6 +133,7 @@
     };
     tokio::spawn(feeds.clone().run(0));
     tokio::spawn(feeds.run(1));
+    let metrics = metrics::start(settings.metrics, &settings.name, &settings.zone).await?;
     let now = now();
     let shell = Shell {
         forwarder: Forwarder::new(now, settings.zone.clone(), settings.period),
@@ -141,9 +146,10 @@
         started: now,
         woken: now,
         reported: now,
-        counts: Counts::default(),
+        counters: Counters::new(),
+        metrics,
+        planned: now,
         lines: 0,
-        suppressed: 0,
         out: Vec::with_capacity(PACKET_LEN),
     };
     tokio::spawn(shell.serve(messages));
@@ -156,19 +162,6 @@
     Time::ZERO + since
 }
 
-/// Packets by what became of them.
-#[derive(Debug, Default)]
-struct Counts {
-    forwarded: u64,
-    reset: u64,
-    malformed: u64,
-    unknown: u64,
-    uncookied: u64,
-    stale: u64,
-    early: u64,
-    unsent: u64,
-}
-
 struct Shell<F> {
     forwarder: Forwarder,
     form: F,
@@ -181,10 +174,12 @@
     started: Time,
     woken: Time,
     reported: Time,
-    counts: Counts,
-    /// Lines on packets since the last tick, and those left out since the start.
+    counters: Counters,
+    metrics: Option<Metrics>,
+    /// When the plan in force arrived.
+    planned: Time,
+    /// Lines on packets since the last tick.
     lines: u32,
-    suppressed: u64,
     out: Vec<u8>,
 }
 
@@ -224,6 +219,9 @@
             self.packet(now, &buf[..len], stale);
         }
         self.woken = now;
+        if let Some(metrics) = &self.metrics {
+            metrics.record(Latency::Batch, self::now().since(now));
+        }
         Ok(())
     }
 
@@ -233,24 +231,32 @@
 
     fn packet(&mut self, now: Time, packet: &[u8], stale: bool) {
         let Some(head) = self.form.read(packet) else {
-            self.counts.malformed += 1;
+            self.count(Counter::PacketsMalformed);
             return;
         };
         self.out.clear();
         match self.forwarder.packet(now, &head, stale) {
             FlowVerdict::Forward { to, id, cookie } => {
                 self.form.forward(packet, id, cookie, &mut self.out);
-                self.counts.forwarded += 1;
+                self.count(Counter::PacketsForwarded);
+                if head.opens {
+                    let repeated = head.repeats > 0;
+                    self.count(if repeated {
+                        Counter::FlowsRepeated
+                    } else {
+                        Counter::FlowsOpened
+                    });
+                }
                 self.send(SocketAddr::V4(to));
             }
             FlowVerdict::Reset(reason) => {
                 self.form.reset(packet, &mut self.out);
-                self.counts.reset += 1;
+                self.count(reset_counter(reason));
                 self.report(&head, format_args!("event=reset reason={reason:?}"));
                 self.send(SocketAddr::V4(SocketAddrV4::new(*head.caller.ip(), self.port)));
             }
             FlowVerdict::Drop(reason) => {
-                *self.counts.of(reason) += 1;
+                self.count(drop_counter(reason));
                 self.report(&head, format_args!("event=drop reason={reason:?}"));
             }
         }
@@ -258,14 +264,14 @@
 
     fn send(&mut self, to: SocketAddr) {
         if !packets::send(&self.socket, &self.out, to) {
-            self.counts.unsent += 1;
+            self.count(Counter::DatagramsUnsent);
         }
     }
 
     /// Logs what became of a packet, within [`LINES`].
     fn report(&mut self, head: &Head, what: std::fmt::Arguments<'_>) {
         if self.lines >= LINES {
-            self.suppressed += 1;
+            self.count(Counter::LinesSuppressed);
             return;
         }
         self.lines += 1;
@@ -287,6 +293,7 @@
                 self.forwarder.fed(now, source, message);
                 let index = self.forwarder.plan().index;
                 if self.index.send_if_modified(|held| std::mem::replace(held, index) != index) {
+                    self.planned = now;
                     let number = self.forwarder.plan().whole.number;
                     log::info!("event=plan index={index} number={number}");
                 }
@@ -310,30 +317,56 @@
         }
     }
 
+    fn count(&mut self, counter: Counter) {
+        self.counters.add(counter, 1);
+    }
+
+    /// Logs the counts that are not zero.
+    fn report_counts(&self) {
+        let mut line = format!("event=counts flows={}", self.forwarder.flows());
+        for (counter, count) in self.counters.iter().filter(|(_, count)| *count > 0) {
+            line.push_str(&format!(" {}={count}", counter.name()));
+        }
+        log::info!("{line}");
+    }
+
+    fn publish(&self, now: Time) {
+        let Some(metrics) = &self.metrics else { return };
+        let plan = self.forwarder.plan();
+        metrics.publish(&self.counters);
+        metrics.set(Level::PlanIndex, plan.index);
+        metrics.set(Level::PlanNumber, plan.whole.number);
+        metrics.set(Level::PlanAge, now.since(self.planned).as_millis() as u64);
+        metrics.set(Level::Servers, self.forwarder.directory().len() as u64);
+        metrics.set(Level::Flows, self.forwarder.flows() as u64);
+    }
+
     fn tick(&mut self) {
         let now = now();
         self.woken = self.woken.max(now);
         self.forwarder.tick(now);
         self.lines = 0;
+        self.publish(now);
         if now.since(self.reported) >= REPORT {
             self.reported = now;
-            log::info!(
-                "event=counts flows={} suppressed={} {:?}",
-                self.forwarder.flows(),
-                self.suppressed,
-                self.counts
-            );
+            self.report_counts();
         }
     }
 }
 
-impl Counts {
-    fn of(&mut self, reason: DropReason) -> &mut u64 {
-        match reason {
-            DropReason::Unknown => &mut self.unknown,
-            DropReason::NoCookie => &mut self.uncookied,
-            DropReason::Stale => &mut self.stale,
-            DropReason::Early => &mut self.early,
-        }
+fn reset_counter(reason: ResetReason) -> Counter {
+    match reason {
+        ResetReason::NoRoute => Counter::FlowsResetUnrouted,
+        ResetReason::NoServer => Counter::FlowsResetUnserved,
+        ResetReason::ServerGone => Counter::FlowsResetGone,
+    }
+}
+
+fn drop_counter(reason: DropReason) -> Counter {
+    match reason {
+        DropReason::Unknown => Counter::PacketsUntagged,
+        DropReason::NoCookie => Counter::PacketsUncookied,
+        DropReason::Stale => Counter::PacketsStale,
+        DropReason::Early => Counter::PacketsEarly,
     }
 }
--- a/src/daemon/publish.rs
+++ b/src/daemon/publish.rs
@@ -64,6 +64,11 @@
         self.plan.clone()
     }
 
+    /// Returns how many entry VMs take the feed.
+    pub(super) fn subscribers(&self) -> usize {
+        self.queues.len()
+    }
+
     fn set(&mut self, plan: Arc<Plan>) {
         let Plan { index, whole, out } = &*plan;
         log::info!("event=plan index={index} number={} out={out:?}", whole.number);
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -17,12 +17,14 @@
 
 use super::{
     link::{self, Answer, Parcel, PeerFrame},
+    metrics::{self, Latency, Level, Metrics},
     publish::{Publisher, Subscriber},
     writer::{self, Job},
 };
 use crate::{
     control::{ControlAction, ControlEvent, ControlNode, Envelope, Fate, Seat, Submission},
     cookie::{Announcement, ControlSeat, FeedMessage, Gossip, Heard, Kept, Registry, ServerRecord},
+    counter::{Counter, Counters},
     error::{Error, Result},
     name::Name,
     state::{Command, Outcome},
@@ -67,6 +69,8 @@
     pub voters: usize,
     /// Time between two announcements of a backend server.
     pub period: Duration,
+    /// Where metrics are read, if anywhere (HTTP).
+    pub metrics: Option<SocketAddr>,
 }
 
 enum Call {
@@ -187,14 +191,16 @@
         let message = format!("{}: {err}; free the address or choose another", settings.listen);
         Error::settings(message)
     })?;
+    let metrics = metrics::start(settings.metrics, &settings.name, &settings.zone).await?;
     let (calls, requests) = mpsc::channel(QUEUE_LEN);
     tokio::spawn(accept(listener, calls.clone()));
     let (events, reports) = mpsc::unbounded_channel();
-    let writes = writer::start(settings.data.clone(), storage, events);
+    let writes = writer::start(settings.data.clone(), storage, events, metrics.clone());
     let registry = Registry::new(Time::ZERO, settings.period).with_kept(kept.records);
     let publisher = Publisher::new(kept.plan);
     let (reached, connections) = mpsc::unbounded_channel();
-    let shell = Shell::new(settings, node, registry, publisher, reached, writes);
+    let shell =
+        Shell::new(settings, node, registry, publisher, reached, writes).with_metrics(metrics);
     tokio::spawn(shell.serve(requests, reports, connections));
     Ok(Registrar { calls })
 }
@@ -260,13 +266,16 @@
     registry: Registry,
     publisher: Publisher,
     writes: mpsc::UnboundedSender<Job>,
+    metrics: Option<Metrics>,
+    counters: Counters,
     epoch: u64,
     links: BTreeMap<SocketAddr, mpsc::Sender<Parcel<PeerFrame>>>,
     /// Hears of each connection of a link.
     reached: mpsc::UnboundedSender<SocketAddr>,
     /// Control VMs that have sent gossip.
     peers: BTreeMap<SocketAddr, Peer>,
-    waiting: BTreeMap<u64, Waiter>,
+    /// Callers that wait, and since when.
+    waiting: BTreeMap<u64, (Time, Waiter)>,
     ticket: u64,
     /// Whether another control VM has told all that it knows.
     caught_up: bool,
@@ -293,6 +302,8 @@
             registry,
             publisher,
             writes,
+            metrics: None,
+            counters: Counters::new(),
             epoch: 0,
             links: BTreeMap::new(),
             reached,
@@ -308,6 +319,11 @@
         }
     }
 
+    fn with_metrics(mut self, metrics: Option<Metrics>) -> Shell {
+        self.metrics = metrics;
+        self
+    }
+
     async fn serve(
         mut self,
         mut requests: mpsc::Receiver<Call>,
@@ -358,7 +374,7 @@
 
     fn wait(&mut self, waiter: Waiter) -> u64 {
         self.ticket += 1;
-        self.waiting.insert(self.ticket, waiter);
+        self.waiting.insert(self.ticket, (self.now(), waiter));
         self.ticket
     }
 
@@ -366,6 +382,14 @@
         let now = self.now();
         let (id, draining) = (announced.id, announced.draining);
         let heard = self.registry.announce(now, announced);
+        self.counters.add(
+            match heard {
+                Heard::Changed => Counter::AnnouncementsChanged,
+                Heard::Same => Counter::AnnouncementsSame,
+                Heard::Late => Counter::AnnouncementsLate,
+            },
+            1,
+        );
         let record = self.registry.get(id).filter(|_| heard != Heard::Late).cloned();
         match record {
             Some(record) if heard == Heard::Changed || draining => {
@@ -373,18 +397,43 @@
                     log_record("announced", &record);
                 }
                 let arrived = self.spread(vec![record]);
-                confirm(arrived, draining, reply);
+                self.confirm(arrived, draining, reply);
             }
             _ => _ = reply.send(Ok(())),
         }
     }
 
+    /// Answers an announcement once another VM has it, where that is `needed`.
+    fn confirm(
+        &mut self,
+        mut arrived: mpsc::Receiver<()>,
+        needed: bool,
+        reply: oneshot::Sender<Result<()>>,
+    ) {
+        if !needed {
+            // A server that has gone on announces itself again.
+            _ = reply.send(Ok(()));
+            return;
+        }
+        let (since, metrics) = (Instant::now(), self.metrics.clone());
+        tokio::spawn(async move {
+            let known = matches!(timeout(KNOWN, arrived.recv()).await, Ok(Some(())));
+            if let Some(metrics) = metrics {
+                metrics.record(Latency::Confirm, since.elapsed());
+            }
+            if !known {
+                log::warn!("event=unconfirmed waited_ms={}", KNOWN.as_millis());
+            }
+            _ = reply.send(if known { Ok(()) } else { Err(unknown_elsewhere()) });
+        });
+    }
+
     fn leave(&mut self, id: u64, reply: oneshot::Sender<Result<()>>) {
         match self.registry.leave(self.now(), id) {
             Some(record) => {
                 log_record("left", &record);
                 let arrived = self.spread(vec![record]);
-                confirm(arrived, true, reply);
+                self.confirm(arrived, true, reply);
             }
             None => _ = reply.send(Ok(())),
         }
@@ -488,7 +537,10 @@
             self.gossip_due = now + GOSSIP;
             let records = self.registry.take_fresh();
             self.gossip(!self.caught_up, None, records, None);
+            self.publish_metrics(now);
             let changed = self.registry.tick(now);
+            let silent = changed.iter().filter(|record| record.silent).count();
+            self.counters.add(Counter::ServersSilent, silent as u64);
             if !changed.is_empty() {
                 changed.iter().for_each(|record| log_record("judged", record));
                 let message = FeedMessage::Servers { all: false, records: changed };
@@ -548,12 +600,21 @@
             ControlAction::Write(write) => _ = self.writes.send(Job::Log(self.epoch, write)),
             ControlAction::Send { to, envelope } => self.send(to, envelope),
             ControlAction::Fate { ticket, fate } => {
-                if let Some(Waiter::Fate(reply)) = self.waiting.remove(&ticket) {
-                    _ = reply.send(fate);
-                }
+                let Some((since, Waiter::Fate(reply))) = self.waiting.remove(&ticket) else {
+                    return;
+                };
+                self.record(Latency::Order, since);
+                log::info!("event=order ticket={ticket} fate={fate:?}");
+                // A caller that has gone on asks again.
+                _ = reply.send(fate);
             }
             ControlAction::Readable { ticket, fresh } => {
-                let Some(Waiter::Read(reply)) = self.waiting.remove(&ticket) else { return };
+                let Some((since, Waiter::Read(reply))) = self.waiting.remove(&ticket) else {
+                    return;
+                };
+                self.record(Latency::Read, since);
+                self.counters
+                    .add(if fresh { Counter::ReadsConfirmed } else { Counter::ReadsUnsure }, 1);
                 let reading = if fresh {
                     Ok(self.node.machine().state().whole.clone())
                 } else {
@@ -566,21 +627,31 @@
         }
     }
 
-    fn send(&mut self, to: SocketAddr, envelope: Envelope) {
-        self.post(to, Parcel { message: PeerFrame::Log(envelope), arrived: None });
+    fn record(&self, latency: Latency, since: Time) {
+        if let Some(metrics) = &self.metrics {
+            metrics.record(latency, self.now().since(since));
+        }
+    }
+
+    fn publish_metrics(&self, now: Time) {
+        let Some(metrics) = &self.metrics else { return };
+        let mut counters = self.node.counters().clone();
+        for (counter, count) in self.counters.iter() {
+            counters.add(counter, count);
+        }
+        metrics.publish(&counters);
+        let state = self.node.state();
+        let number = state.whole.as_ref().map_or(0, |whole| whole.number);
+        metrics.set(Level::PlanIndex, state.index);
+        metrics.set(Level::PlanNumber, number);
+        metrics.set(Level::RegistryAge, self.registry.age(now).as_millis() as u64);
+        metrics.set(Level::Servers, self.registry.records().count() as u64);
+        metrics.set(Level::Subscribers, self.publisher.subscribers() as u64);
     }
-}
 
-/// Answers an announcement once another VM has it, where that is `needed`.
-fn confirm(mut arrived: mpsc::Receiver<()>, needed: bool, reply: oneshot::Sender<Result<()>>) {
-    if !needed {
-        _ = reply.send(Ok(()));
-        return;
+    fn send(&mut self, to: SocketAddr, envelope: Envelope) {
+        self.post(to, Parcel { message: PeerFrame::Log(envelope), arrived: None });
     }
-    tokio::spawn(async move {
-        let known = matches!(timeout(KNOWN, arrived.recv()).await, Ok(Some(())));
-        _ = reply.send(if known { Ok(()) } else { Err(unknown_elsewhere()) });
-    });
 }
 
 fn log_record(event: &str, record: &ServerRecord) {
--- a/src/daemon/writer.rs
+++ b/src/daemon/writer.rs
@@ -1,9 +1,14 @@
 //! The thread that writes the log of a control VM, so that a slow disk holds up nothing else.
 
-use std::{path::Path, path::PathBuf, time::Duration};
+use std::{
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
 
 use tokio::sync::mpsc;
 
+use super::metrics::{Latency, Metrics};
+
 use crate::{
     control::{ControlEvent, FolderDisk, Identity, Recovered, Storage, Write},
     cookie::Kept,
@@ -39,9 +44,12 @@
     folder: PathBuf,
     storage: Storage<FolderDisk>,
     events: mpsc::UnboundedSender<ControlEvent>,
+    metrics: Option<Metrics>,
 ) -> mpsc::UnboundedSender<Job> {
     let (sender, writes) = mpsc::unbounded_channel();
-    tokio::task::spawn_blocking(move || write_all(&folder, storage, writes, &events));
+    tokio::task::spawn_blocking(move || {
+        write_all(&folder, storage, writes, &events, metrics.as_ref())
+    });
     sender
 }
 
@@ -50,6 +58,7 @@
     mut storage: Storage<FolderDisk>,
     mut writes: mpsc::UnboundedReceiver<Job>,
     events: &mpsc::UnboundedSender<ControlEvent>,
+    metrics: Option<&Metrics>,
 ) {
     let mut epoch = 0;
     while let Some(job) = writes.blocking_recv() {
@@ -66,7 +75,12 @@
             // It belongs to the replica that ended with the failure.
             continue;
         }
-        let event = match storage.write(&write) {
+        let since = Instant::now();
+        let written = storage.write(&write);
+        if let Some(metrics) = metrics {
+            metrics.record(Latency::Sync, since.elapsed());
+        }
+        let event = match written {
             Ok(()) => ControlEvent::Synced(write.id),
             Err(err) => {
                 log::error!("{err}; nothing is acknowledged until the disk works again");
--- a/tests/cookie_forward.rs
+++ b/tests/cookie_forward.rs
@@ -121,6 +121,29 @@
     }
 }
 
+#[test]
+fn an_opening_that_stays_unanswered_is_repeated_elsewhere() {
+    let mut forwarder = forwarder(&[announced(1, "a"), announced(2, "b")]);
+    let head = opening(1, 1);
+    assert_eq!(sent(forwarder.packet(at(10), &head, false)).0, 1);
+    let mut again = head;
+    again.repeats = 1;
+    assert_eq!(sent(forwarder.packet(at(210), &again, false)).0, 2);
+    // An answer of the first that comes late after all is not taken for one of the second.
+    assert_eq!(sent(forwarder.packet(at(220), &following(head, tag(1)), false)).0, 1);
+    assert_eq!(sent(forwarder.packet(at(230), &following(head, tag(2)), false)).0, 1);
+}
+
+#[test]
+fn the_only_server_is_asked_again() {
+    let mut forwarder = forwarder(&[announced(1, "a")]);
+    let mut head = opening(1, 1);
+    for (repeats, millis) in [(0, 10), (1, 210), (2, 610)] {
+        head.repeats = repeats;
+        assert_eq!(sent(forwarder.packet(at(millis), &head, false)).0, 1);
+    }
+}
+
 #[test]
 fn a_server_that_refuses_openings_is_left_alone_before_it_falls_silent() {
     let mut forwarder = forwarder(&[announced(1, "a"), announced(2, "b")]);
