Hand leadership on before a planned stop; make the exporter for the first scraper

Cause: a control VM that was asked to stop left the others to wait 1.5 to 2.5 s for an election. Change: a leader that stops resigns, and its followers ask for votes within 200 ms; a message of its term that the resignation overtook is dropped (found by the stand-in, which reorders). Instruments are made for the first scraper; latencies count from then on. Test voter_places::a_leader_that_stops_on_purpose.. failed before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -80,6 +80,8 @@
         /// The report.
         progress: Progress,
     },
+    /// The VM is about to stop.
+    Stop,
     /// A caller asks whether the configuration here is the newest.
     Read {
         /// Names the waiting caller.
@@ -321,6 +323,7 @@
             ControlEvent::Read { ticket } => {
                 self.start_read(now, ticket, None, &mut actions, out);
             }
+            ControlEvent::Stop => self.replica.resign(now, &mut actions),
             ControlEvent::Tick => self.tick(now, &mut actions, out),
         }
         self.settle(now, &mut actions, out);
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -35,6 +35,9 @@
 pub(crate) const ELECTION: Duration = Duration::from_millis(1_500);
 /// Longest time that a replica waits beyond [`ELECTION`].
 const ELECTION_SPREAD: Duration = Duration::from_millis(1_000);
+/// Part of [`ELECTION_SPREAD`] within which a replica asks for votes once its leader has resigned:
+/// some round trips, so that two seldom ask at once.
+const RESIGN_HASTE: u32 = 5;
 /// Time between heartbeats of a leader to voters.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Time between heartbeats of a leader to learners, which promise nothing but count as up to date
@@ -130,6 +133,8 @@
     halted: bool,
     /// Voters that are wanted, or 0 where only named ones vote.
     voters: usize,
+    /// Last term whose leader has resigned.
+    ended: u64,
 }
 
 impl Replica {
@@ -158,6 +163,7 @@
             sent: Time::ZERO,
             halted: false,
             voters: 0,
+            ended: 0,
         };
         replica.find_members();
         replica.rest(now);
@@ -335,6 +341,9 @@
             ReplicaMessage::Vote { term, granted, pre } => {
                 self.voted(now, from, term, granted, pre, out);
             }
+            // The leader's resignation has overtaken it.
+            ReplicaMessage::Append { .. } | ReplicaMessage::Install { .. }
+                if message.term() <= self.ended => {}
             ReplicaMessage::Append { .. } | ReplicaMessage::Install { .. }
                 if message.term() < self.hard.term =>
             {
@@ -349,6 +358,7 @@
                 self.heed(now, from, term, sent, out);
                 self.install(snapshot, out);
             }
+            ReplicaMessage::Resign { term } => self.resigned(now, from, term),
             ReplicaMessage::Acked { term, .. } | ReplicaMessage::Mismatch { term, .. }
                 if term > self.hard.term =>
             {
@@ -408,9 +418,13 @@
 
     /// Sets the time of the next election, different for each replica and each try.
     fn rest(&mut self, now: Time) {
+        self.deadline = now + ELECTION + self.spread();
+    }
+
+    fn spread(&self) -> Duration {
         let seed = [self.me.number().to_le_bytes(), self.elections.to_le_bytes()].concat();
         let spread = crate::member::hash(&seed) % ELECTION_SPREAD.as_micros() as u64;
-        self.deadline = now + ELECTION + Duration::from_micros(spread);
+        Duration::from_micros(spread)
     }
 
     /// Sets the next election to `now` where this replica is the only voter, which has nobody to
--- a/src/control/replica/elect.rs
+++ b/src/control/replica/elect.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::{
-    Actions, ELECTION, Replica, Role,
+    Actions, ELECTION, RESIGN_HASTE, Replica, Role,
     lead::Lead,
     message::{Entry, Hard, Identity, Mark, Payload, ReplicaMessage},
 };
@@ -104,6 +104,32 @@
         if *pre { self.elect(now, out) } else { self.lead(now, out) }
     }
 
+    /// Stops leading on purpose, so that the others elect a leader at once.
+    pub fn resign(&mut self, now: Time, out: &mut Actions) {
+        if !self.is_leader() {
+            return;
+        }
+        let (me, term) = (self.me, self.hard.term);
+        let voters: Vec<_> = self.members.voters.keys().copied().collect();
+        for to in voters.into_iter().filter(|to| *to != me) {
+            self.send(to, ReplicaMessage::Resign { term }, out);
+        }
+        self.follow(now, term, None, out);
+    }
+
+    /// Takes over that the leader has resigned: nothing is promised to it any more, and the
+    /// followers ask for votes one after the other.
+    pub(super) fn resigned(&mut self, now: Time, from: Identity, term: u64) {
+        if term != self.hard.term || self.leader != Some(from) {
+            return;
+        }
+        self.ended = term;
+        self.leader = None;
+        self.heard = Time::ZERO;
+        let spread = self.spread() / RESIGN_HASTE;
+        self.deadline = now + spread;
+    }
+
     fn lead(&mut self, now: Time, out: &mut Actions) {
         let start = self.last().index + 1;
         self.role = Role::Leader(Lead::new(now, start));
--- a/src/control/replica/message.rs
+++ b/src/control/replica/message.rs
@@ -178,6 +178,11 @@
         /// Leader's time of sending.
         sent: Time,
     },
+    /// A leader stops leading; its followers need not wait for it.
+    Resign {
+        /// Term of the leader.
+        term: u64,
+    },
     /// A replica holds the leader's log up to an index, synced.
     Acked {
         /// Term of the replica.
@@ -206,6 +211,7 @@
             | ReplicaMessage::Vote { term, .. }
             | ReplicaMessage::Append { term, .. }
             | ReplicaMessage::Install { term, .. }
+            | ReplicaMessage::Resign { term }
             | ReplicaMessage::Acked { term, .. }
             | ReplicaMessage::Mismatch { term, .. } => term,
         }
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -87,7 +87,7 @@
         left: Cell::new(false),
         drained: Cell::new(false),
     };
-    let metrics = Metrics::new(&settings.name, &settings.zone)?;
+    let metrics = Metrics::new(&settings.name, &settings.zone);
     if let Some(addr) = settings.metrics {
         metrics::serve(addr, metrics.clone()).await?;
     }
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -4,7 +4,7 @@
     convert::Infallible,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -13,27 +13,18 @@
 use http_body_util::Full;
 use hyper::{Request, Response, body::Bytes, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use opentelemetry::{
-    KeyValue,
-    metrics::{Histogram, MeterProvider},
-};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 use tokio::net::TcpListener;
 
+mod export;
+
+use export::Exporter;
+
 use crate::{
     counter::{Counter, Counters},
     error::{Error, Result},
     name::Name,
 };
 
-/// Name of the instrumentation scope.
-const SCOPE: &str = "galenatrail";
-
-/// Bounds of the latency histograms, in seconds: from a tenth of a millisecond to the time after
-/// which operators and servers go on to another VM.
-const BOUNDS: [f64; 12] = [0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
-
 /// A time that is measured.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Latency {
@@ -107,84 +98,63 @@
     }
 }
 
-/// Counters that a daemon publishes and a scraper reads.
+/// What a daemon publishes.
+pub(super) struct Values {
+    vm: Name,
+    zone: Name,
+    counts: Vec<AtomicU64>,
+    levels: Vec<AtomicU64>,
+}
+
+/// Values that a daemon publishes and a scraper reads.
+///
+/// The exporter takes more memory than the rest of an entry VM, so that it is made for the first
+/// scraper; latencies count from then on.
 #[derive(Clone)]
 pub(super) struct Metrics {
-    counts: Arc<Vec<AtomicU64>>,
-    levels: Arc<Vec<AtomicU64>>,
-    latencies: Arc<Vec<Histogram<f64>>>,
-    labels: Arc<[KeyValue; 2]>,
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    values: Arc<Values>,
+    exporter: Arc<OnceLock<Exporter>>,
 }
 
 impl Metrics {
     /// Returns the metrics of the VM `vm` in `zone`, all zero.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the exporter cannot be built.
-    pub(super) fn new(vm: &Name, zone: &Name) -> Result<Metrics> {
-        let registry = Registry::new();
-        let reader = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|err| Error::settings(format!("no metrics exporter: {err}")))?;
-        let provider = SdkMeterProvider::builder().with_reader(reader).build();
-        let counts: Arc<Vec<_>> =
-            Arc::new(Counter::ALL.iter().map(|_| AtomicU64::new(0)).collect());
-        let labels = [KeyValue::new("vm", vm.clone()), KeyValue::new("zone", zone.clone())];
-        let meter = provider.meter(SCOPE);
-        for &counter in Counter::ALL {
-            let (counts, labels) = (counts.clone(), labels.clone());
-            meter
-                .u64_observable_counter(counter.name())
-                .with_callback(move |observer| {
-                    let count = counts[counter as usize].load(Ordering::Relaxed);
-                    observer.observe(count, &labels);
-                })
-                .build();
-        }
-        let levels: Arc<Vec<_>> = Arc::new(Level::ALL.iter().map(|_| AtomicU64::new(0)).collect());
-        for level in Level::ALL {
-            let (levels, labels) = (levels.clone(), labels.clone());
-            meter
-                .u64_observable_gauge(level.name())
-                .with_callback(move |observer| {
-                    observer.observe(levels[level as usize].load(Ordering::Relaxed), &labels);
-                })
-                .build();
-        }
-        let histogram = |latency: &Latency| {
-            meter.f64_histogram(latency.name()).with_boundaries(BOUNDS.to_vec()).build()
-        };
-        let latencies = Arc::new(Latency::ALL.iter().map(histogram).collect());
-        let labels = Arc::new(labels);
-        Ok(Metrics { counts, levels, latencies, labels, registry, _provider: provider })
+    pub(super) fn new(vm: &Name, zone: &Name) -> Metrics {
+        let zeros = |len: usize| (0..len).map(|_| AtomicU64::new(0)).collect();
+        let (counts, levels) = (zeros(Counter::ALL.len()), zeros(Level::ALL.len()));
+        let values = Values { vm: vm.clone(), zone: zone.clone(), counts, levels };
+        Metrics { values: Arc::new(values), exporter: Arc::default() }
     }
 
     /// Takes over the counts of a node.
     pub(super) fn publish(&self, counters: &Counters) {
         for (counter, count) in counters.iter() {
-            self.counts[counter as usize].store(count, Ordering::Relaxed);
+            self.values.counts[counter as usize].store(count, Ordering::Relaxed);
         }
     }
 
     /// Sets a value.
     pub(super) fn set(&self, level: Level, value: u64) {
-        self.levels[level as usize].store(value, Ordering::Relaxed);
+        self.values.levels[level as usize].store(value, Ordering::Relaxed);
     }
 
     /// Adds a time to its histogram.
     pub(super) fn record(&self, latency: Latency, time: Duration) {
-        self.latencies[latency as usize].record(time.as_secs_f64(), &*self.labels);
+        if let Some(exporter) = self.exporter.get() {
+            exporter.record(latency, time.as_secs_f64());
+        }
     }
 
     fn text(&self) -> Vec<u8> {
-        let mut buf = Vec::new();
-        // A failure leaves the text short, which the scraper reports.
-        _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
-        buf
+        if let Some(exporter) = self.exporter.get() {
+            return exporter.text();
+        }
+        match Exporter::new(&self.values) {
+            Ok(exporter) => self.exporter.get_or_init(|| exporter).text(),
+            Err(err) => {
+                log::error!("{err}");
+                Vec::new()
+            }
+        }
     }
 }
 
@@ -192,14 +162,14 @@
 ///
 /// # Errors
 ///
-/// Fails when the exporter cannot be built or `addr` cannot be used.
+/// Fails when `addr` cannot be used.
 pub(super) async fn start(
     addr: Option<SocketAddr>,
     vm: &Name,
     zone: &Name,
 ) -> Result<Option<Metrics>> {
     let Some(addr) = addr else { return Ok(None) };
-    let metrics = Metrics::new(vm, zone)?;
+    let metrics = Metrics::new(vm, zone);
     serve(addr, metrics.clone()).await?;
     Ok(Some(metrics))
 }
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -47,6 +47,8 @@
 const KNOWN: Duration = Duration::from_millis(700);
 /// Shortest time between two copies on disk of what entry VMs need.
 const KEEP: Duration = Duration::from_secs(2);
+/// Time that a stopping VM takes to hand on what it has: a few round trips.
+const LEAVING: Duration = Duration::from_millis(150);
 /// Time without gossip after which a control VM that is no member is not named to entry VMs.
 const PRESENT: Duration = Duration::from_secs(6);
 
@@ -80,6 +82,7 @@
     Leave(u64, oneshot::Sender<Result<()>>),
     Peer(Vec<PeerFrame>),
     Feed(Subscriber),
+    Stop,
 }
 
 /// A running control VM.
@@ -125,6 +128,13 @@
         self.call(Call::Read).await?
     }
 
+    /// Stops in order: another control VM leads first.
+    pub async fn stop(&self) {
+        // The shell has ended where the call cannot be made.
+        _ = self.calls.send(Call::Stop).await;
+        sleep(LEAVING).await;
+    }
+
     /// Takes over an announcement of a backend server.
     ///
     /// # Errors
@@ -364,6 +374,10 @@
             Call::Announce(announced, reply) => self.announce(announced, reply),
             Call::Leave(id, reply) => self.leave(id, reply),
             Call::Peer(frames) => self.frames(frames),
+            Call::Stop => {
+                log::info!("event=stop");
+                self.event(ControlEvent::Stop);
+            }
             Call::Feed(subscriber) => {
                 let beat = self.beat();
                 let records = self.registry.records().cloned().collect();
--- a/src/standin/replicas.rs
+++ b/src/standin/replicas.rs
@@ -241,6 +241,11 @@
         ticket
     }
 
+    /// Lets a VM know that it is about to stop.
+    pub fn stop(&mut self, vm: &str) {
+        self.event(vm, ControlEvent::Stop);
+    }
+
     /// Starts a read at a VM; whether it was confirmed is in [`Replicas::reads`] under the
     /// returned ticket.
     pub fn read(&mut self, vm: &str) -> u64 {
--- a/tests/voter_places.rs
+++ b/tests/voter_places.rs
@@ -110,3 +110,17 @@
         assert!(replicas.run_until(LIMIT, held), "seed {seed}");
     }
 }
+
+#[test]
+fn a_leader_that_stops_on_purpose_is_followed_by_another_at_once() {
+    for seed in 60..70 {
+        let mut replicas = formed(seed);
+        let leader = replicas.leader().unwrap();
+        replicas.stop(&leader);
+        let next = |replicas: &Replicas| replicas.leader().is_some_and(|next| next != leader);
+        // An election that waits for the old leader takes 1.5 s or more.
+        let limit = Duration::from_millis(1_200);
+        assert!(replicas.run_until(limit, next), "seed {seed}");
+        assert_eq!(replicas.violations, Vec::<String>::new());
+    }
+}
