--- a/src/control/feed.rs
+++ b/src/control/feed.rs
@@ -16,26 +16,32 @@
 const FETCH_LIMIT: usize = 256;
 /// Commands that are kept; a VM that lacks more gets the whole state.
 const FEED_LEN: usize = 4_096;
+/// Bytes of large commands that are kept: some of the largest configurations.
+const FEED_BYTES: usize = 1 << 20;
 
 /// The last commands that reached the configuration.
 #[derive(Debug, Clone)]
 pub(super) struct Feed {
     first: u64,
     commands: VecDeque<Command>,
+    /// Bytes of the large ones among them.
+    bytes: usize,
 }
 
 impl Feed {
     /// Returns a feed whose first command will be that of index `first`.
     pub(super) fn new(first: u64) -> Feed {
-        Feed { first, commands: VecDeque::new() }
+        Feed { first, commands: VecDeque::new(), bytes: 0 }
     }
 
     pub(super) fn push(&mut self, command: Command) {
-        if self.commands.len() == FEED_LEN {
-            self.commands.pop_front();
+        self.bytes += command.len();
+        self.commands.push_back(command);
+        while self.commands.len() > FEED_LEN || self.bytes > FEED_BYTES {
+            let Some(oldest) = self.commands.pop_front() else { return };
+            self.bytes -= oldest.len();
             self.first += 1;
         }
-        self.commands.push_back(command);
     }
 
     /// Returns what a VM lacks that has applied `after` commands.
--- a/tests/whole_config.rs
+++ b/tests/whole_config.rs
@@ -1,9 +1,9 @@
 //! Numbered whole configurations in the replicated log, and reads of them.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use galenatrail::{
-    Command, Fate, Outcome, Route, Share, Submission, Warmup, Whole, standin::Replicas,
+    Command, Fate, Outcome, Progress, Route, Share, Submission, Warmup, Whole, standin::Replicas,
 };
 
 const LIMIT: Duration = Duration::from_secs(20);
@@ -167,3 +167,21 @@
     }
     assert_eq!(read(&mut replicas, "control-2"), Some(60));
 }
+
+#[test]
+fn a_vm_that_lacks_many_large_configurations_is_given_the_state() {
+    let mut replicas = formed(6, 1);
+    for number in 1..=30 {
+        let mut large = whole(number, 80);
+        large.source = vec![b'x'; 100_000].into();
+        assert!(is_accepted(&submit(&mut replicas, "control-1", large)));
+    }
+    let ticket = replicas.report("control-1", Progress { after: 0, applied: BTreeMap::new() });
+    replicas.run(SETTLED);
+    let entries = &replicas.entries[&ticket];
+    assert!(entries.snapshot.is_some(), "{} commands are kept", entries.commands.len());
+    let progress = Progress { after: 28, applied: BTreeMap::new() };
+    let ticket = replicas.report("control-1", progress);
+    replicas.run(SETTLED);
+    assert_eq!(replicas.entries[&ticket].commands.len(), 2);
+}
