Measure the choice of a server for flows of many requests

Change: choice.* in the measures: real forwarders, callers and servers in memory, one entry VM rolled, one server restarted cold.

--- a/benches/measures.rs
+++ b/benches/measures.rs
@@ -9,6 +9,8 @@
 mod backend;
 #[path = "measures/baselines.rs"]
 mod baselines;
+#[path = "measures/choice.rs"]
+mod choice;
 #[path = "measures/config.rs"]
 mod config;
 #[path = "measures/fixture.rs"]
@@ -34,5 +36,6 @@
     flow::measure(&mut table);
     request::measure(&mut table);
     config::measure(&mut table);
+    choice::measure(&mut table);
     table.finish()
 }
