Tell of unchanged announcements by number, and of all servers in small frames

Change: announcements without a change are told as (id, number); the latest start at an address is indexed; all records go in frames of 100, encoded once until a server changes. Tests registry_rules::{announcements_without_a_change.., a_change_that_was_not_told_yet..}.

--- a/src/cookie/feed.rs
+++ b/src/cookie/feed.rs
@@ -26,8 +26,11 @@
     pub asks: bool,
     /// How long the sender has heard announcements, where this is everything that it knows.
     pub age: Option<Duration>,
-    /// The servers.
+    /// The servers that have changed.
     pub records: Vec<ServerRecord>,
+    /// Servers that have announced themselves without a change, with the number of the
+    /// announcement.
+    pub alive: Vec<(u64, u64)>,
 }
 
 /// What operators have asked for, as entry VMs need it.
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -1,7 +1,7 @@
 //! The backend servers, as soft state of a control VM: made from announcements and from what
 //! other control VMs have heard, never written to the log.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddrV4, time::Duration};
 
 use crate::{
     cookie::record::{Announcement, ServerRecord, ServerState},
@@ -33,8 +33,8 @@
 struct Known {
     record: ServerRecord,
     heard: Time,
-    /// Whether other control VMs have to be told.
-    fresh: bool,
+    /// Whether other control VMs have to be told, of the record or of the announcement alone.
+    fresh: Option<Heard>,
 }
 
 /// The backend servers that a control VM knows.
@@ -45,12 +45,14 @@
     /// When the registry began to hear announcements.
     since: Time,
     servers: BTreeMap<u64, Known>,
+    /// The server that started last at each address, with its start.
+    latest: BTreeMap<SocketAddrV4, (u64, u64)>,
 }
 
 impl Registry {
     /// Returns an empty registry of servers that announce themselves once a `period`.
     pub fn new(now: Time, period: Duration) -> Registry {
-        Registry { period, since: now, servers: BTreeMap::new() }
+        Registry { period, since: now, servers: BTreeMap::new(), latest: BTreeMap::new() }
     }
 
     /// Returns the registry with servers that were there before this VM was down; one that does
@@ -58,11 +60,11 @@
     #[must_use]
     pub fn with_kept(mut self, records: Vec<ServerRecord>) -> Registry {
         let heard = self.since;
-        let known = records.into_iter().map(|mut record| {
+        for mut record in records {
             record.silent = false;
-            (record.announced.id, Known { record, heard, fresh: false })
-        });
-        self.servers.extend(known);
+            self.note_address(&record);
+            self.servers.insert(record.announced.id, Known { record, heard, fresh: None });
+        }
         self
     }
 
@@ -91,7 +93,7 @@
         let known = self.servers.get_mut(&id)?;
         known.record.state = ServerState::Gone;
         known.heard = now;
-        known.fresh = true;
+        known.fresh = Some(Heard::Changed);
         Some(known.record.clone())
     }
 
@@ -116,46 +118,71 @@
         {
             return Heard::Late;
         }
+        self.note_address(&record);
         if self.is_replaced(&record) {
             record.state = ServerState::Gone;
         }
-        let changed = before.is_none_or(|before| record.differs(before));
+        let before = self.servers.get(&id);
+        let changed = before.is_none_or(|before| record.differs(&before.record));
+        let heard = if changed { Heard::Changed } else { Heard::Same };
+        // A change that was not told yet stays one.
+        let untold = before.and_then(|before| before.fresh).filter(|old| *old == Heard::Changed);
+        let fresh = untold.or(fresh.then_some(heard));
         self.servers.insert(id, Known { record, heard: now, fresh });
-        if changed { Heard::Changed } else { Heard::Same }
+        heard
+    }
+
+    fn note_address(&mut self, record: &ServerRecord) {
+        let Announcement { addr, born, id, .. } = record.announced;
+        let held = self.latest.entry(addr).or_insert((born, id));
+        *held = (*held).max((born, id));
     }
 
     /// Returns whether a server that started later has the address of `record`.
     fn is_replaced(&self, record: &ServerRecord) -> bool {
         let own = &record.announced;
-        self.records().any(|other| {
-            let other = &other.announced;
-            other.id != own.id && other.addr == own.addr && other.born > own.born
-        })
+        self.latest.get(&own.addr).is_some_and(|&(born, id)| id != own.id && born > own.born)
+    }
+
+    /// Takes over that another control VM has heard an announcement without a change.
+    pub fn alive(&mut self, now: Time, id: u64, sequence: u64) -> Heard {
+        let Some(known) = self.servers.get_mut(&id) else { return Heard::Late };
+        let ended = known.record.state == ServerState::Gone;
+        if ended || sequence <= known.record.announced.sequence {
+            return Heard::Late;
+        }
+        known.record.announced.sequence = sequence;
+        known.heard = now;
+        let returned = std::mem::replace(&mut known.record.silent, false);
+        if returned { Heard::Changed } else { Heard::Same }
     }
 
-    /// Returns the records that other control VMs have to be told.
-    pub fn take_fresh(&mut self) -> Vec<ServerRecord> {
-        let fresh = self.servers.values_mut().filter(|known| known.fresh);
-        fresh
-            .map(|known| {
-                known.fresh = false;
-                known.record.clone()
-            })
-            .collect()
+    /// Returns what other control VMs have to be told: changed records, and servers that have
+    /// announced themselves without a change, with the number of the announcement.
+    pub fn take_fresh(&mut self) -> (Vec<ServerRecord>, Vec<(u64, u64)>) {
+        let (mut records, mut alive) = (Vec::new(), Vec::new());
+        for known in self.servers.values_mut() {
+            match known.fresh.take() {
+                Some(Heard::Changed) => records.push(known.record.clone()),
+                Some(_) => alive.push((known.record.announced.id, known.record.announced.sequence)),
+                None => {}
+            }
+        }
+        (records, alive)
     }
 
     /// Notes which servers have fallen silent or lost their address; returns the changed records.
     pub fn tick(&mut self, now: Time) -> Vec<ServerRecord> {
         let limit = self.period * MISSED;
         let sure = self.age(now) >= limit;
-        let latest = self.latest_by_addr();
         let mut changed = Vec::new();
         for known in self.servers.values_mut() {
             let before = known.record.clone();
             let ended = known.record.state == ServerState::Gone;
             known.record.silent = !ended && sure && now.since(known.heard) >= limit;
             let own = &known.record.announced;
-            if latest.get(&own.addr).is_some_and(|&(born, id)| born > own.born && id != own.id) {
+            if self.latest.get(&own.addr).is_some_and(|&(born, id)| born > own.born && id != own.id)
+            {
                 known.record.state = ServerState::Gone;
             }
             if known.record != before {
@@ -163,15 +190,8 @@
             }
         }
         self.servers.retain(|_, known| now.since(known.heard) < REMEMBERED);
+        let servers = &self.servers;
+        self.latest.retain(|_, (_, id)| servers.contains_key(id));
         changed
     }
-
-    fn latest_by_addr(&self) -> BTreeMap<std::net::SocketAddrV4, (u64, u64)> {
-        let mut latest = BTreeMap::new();
-        for Announcement { addr, born, id, .. } in self.records().map(|record| &record.announced) {
-            let held = latest.entry(*addr).or_insert((*born, *id));
-            *held = (*held).max((*born, *id));
-        }
-        latest
-    }
 }
--- a/src/daemon/publish.rs
+++ b/src/daemon/publish.rs
@@ -18,6 +18,8 @@
 
 /// Messages that wait for an entry VM at most; one that falls behind connects anew.
 const QUEUE_LEN: usize = 256;
+/// Records of one frame to a new entry VM: some 12 KB, 40 ms on a link of 2.4 Mbit/s.
+const FRAME_RECORDS: usize = 100;
 /// Shortest time between two plans to one entry VM: in a storm of changes most are overtaken.
 const PLAN_GAP: Duration = Duration::from_millis(150);
 
@@ -46,13 +48,16 @@
     plan: Option<Arc<Plan>>,
     /// The configuration that the plan was made from.
     whole: Option<Arc<Whole>>,
+    /// All servers as they were last sent to a new entry VM, until one of them changes.
+    servers: Vec<Encoded>,
 }
 
 impl Publisher {
     /// Returns a publisher that has `plan` from before this VM was down.
     pub(super) fn new(plan: Option<Arc<Plan>>) -> Publisher {
         let newest = watch::Sender::new(Newest::default());
-        let mut publisher = Publisher { queues: Vec::new(), newest, plan: None, whole: None };
+        let mut publisher =
+            Publisher { queues: Vec::new(), newest, plan: None, whole: None, servers: Vec::new() };
         if let Some(plan) = plan {
             publisher.set(plan);
         }
@@ -103,6 +108,9 @@
 
     /// Sends a message to every entry VM.
     pub(super) fn send(&mut self, message: &FeedMessage, arrived: Option<&mpsc::Sender<()>>) {
+        if matches!(message, FeedMessage::Servers { .. }) {
+            self.servers.clear();
+        }
         if self.queues.is_empty() {
             return;
         }
@@ -113,18 +121,30 @@
         });
     }
 
-    /// Starts to feed an entry VM.
-    pub(super) fn subscribe(
+    /// Starts to feed an entry VM, with all servers first.
+    ///
+    /// They go in frames that a small link carries well within the time in which a frame has to be
+    /// answered.
+    pub(super) fn subscribe<'a, I: Iterator<Item = &'a ServerRecord>>(
         &mut self,
         subscriber: Subscriber,
         beat: FeedMessage,
-        records: Vec<ServerRecord>,
+        records: impl Fn() -> I,
     ) {
-        let (queue, parcels) = mpsc::channel(QUEUE_LEN);
-        for message in [FeedMessage::Servers { all: true, records }, beat] {
-            let parcel = Parcel { message: encode(&message), arrived: None };
-            // The queue is new and empty.
-            _ = queue.try_send(parcel);
+        if self.servers.is_empty() {
+            let records: Vec<_> = records().cloned().collect();
+            let first = FeedMessage::Servers { all: true, records: Vec::new() };
+            self.servers.push(encode(&first));
+            for part in records.chunks(FRAME_RECORDS) {
+                let message = FeedMessage::Servers { all: false, records: part.to_vec() };
+                self.servers.push(encode(&message));
+            }
+        }
+        let (queue, parcels) = mpsc::channel(QUEUE_LEN + self.servers.len());
+        // The beat comes last: it says for how long servers that were not named are silent.
+        for message in self.servers.iter().cloned().chain([encode(&beat)]) {
+            // The queue is new and long enough.
+            _ = queue.try_send(Parcel { message, arrived: None });
         }
         self.queues.push(queue);
         let newest = self.newest.subscribe();
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -380,8 +380,7 @@
             }
             Call::Feed(subscriber) => {
                 let beat = self.beat();
-                let records = self.registry.records().cloned().collect();
-                self.publisher.subscribe(subscriber, beat, records);
+                self.publisher.subscribe(subscriber, beat, || self.registry.records());
             }
         }
     }
@@ -460,18 +459,18 @@
         let (sender, arrived) = mpsc::channel(1);
         let message = FeedMessage::Servers { all: false, records: records.clone() };
         self.publisher.send(&message, Some(&sender));
-        self.gossip(false, None, records, Some(&sender));
+        self.gossip(false, records, Vec::new(), Some(&sender));
         arrived
     }
 
     fn gossip(
         &mut self,
         asks: bool,
-        age: Option<Duration>,
         records: Vec<ServerRecord>,
+        alive: Vec<(u64, u64)>,
         arrived: Option<&mpsc::Sender<()>>,
     ) {
-        let gossip = Gossip { from: self.seat(), asks, age, records };
+        let gossip = Gossip { from: self.seat(), asks, age: None, records, alive };
         for to in self.others() {
             let parcel =
                 Parcel { message: PeerFrame::Gossip(gossip.clone()), arrived: arrived.cloned() };
@@ -512,7 +511,7 @@
 
     fn heard(&mut self, gossip: Gossip) {
         let now = self.now();
-        let Gossip { from, asks, age, records } = gossip;
+        let Gossip { from, asks, age, records, alive } = gossip;
         let peer = Peer { zone: from.zone, heard: now };
         self.peers.insert(from.addr, peer);
         let mut changed = Vec::new();
@@ -522,6 +521,11 @@
                 changed.extend(self.registry.get(id).cloned());
             }
         }
+        for (id, sequence) in alive {
+            if self.registry.alive(now, id, sequence) == Heard::Changed {
+                changed.extend(self.registry.get(id).cloned());
+            }
+        }
         if !changed.is_empty() {
             self.changed = true;
             let message = FeedMessage::Servers { all: false, records: changed };
@@ -540,7 +544,7 @@
     fn tell_all(&mut self, to: SocketAddr) {
         let age = Some(self.registry.age(self.now()));
         let records = self.registry.records().cloned().collect();
-        let gossip = Gossip { from: self.seat(), asks: false, age, records };
+        let gossip = Gossip { from: self.seat(), asks: false, age, records, alive: Vec::new() };
         self.post(to, Parcel { message: PeerFrame::Gossip(gossip), arrived: None });
     }
 
@@ -549,8 +553,8 @@
         self.event(ControlEvent::Tick);
         if now >= self.gossip_due {
             self.gossip_due = now + GOSSIP;
-            let records = self.registry.take_fresh();
-            self.gossip(!self.caught_up, None, records, None);
+            let (records, alive) = self.registry.take_fresh();
+            self.gossip(!self.caught_up, records, alive, None);
             self.publish_metrics(now);
             let changed = self.registry.tick(now);
             let silent = changed.iter().filter(|record| record.silent).count();
--- a/tests/registry_rules.rs
+++ b/tests/registry_rules.rs
@@ -84,13 +84,45 @@
 fn other_control_vms_are_told_once_of_what_was_heard_here() {
     let (mut first, mut second) = (registry(), registry());
     first.announce(at(10), announced(1, "a"));
-    let told = first.take_fresh();
-    assert_eq!(told.len(), 1);
-    assert!(first.take_fresh().is_empty());
+    let (told, alive) = first.take_fresh();
+    assert_eq!((told.len(), alive.len()), (1, 0));
+    assert_eq!(first.take_fresh(), (Vec::new(), Vec::new()));
     for record in told {
         assert_eq!(second.gossip(at(20), record), Heard::Changed);
     }
-    assert!(second.take_fresh().is_empty(), "news goes one step only");
+    assert_eq!(second.take_fresh(), (Vec::new(), Vec::new()), "news goes one step only");
+}
+
+#[test]
+fn announcements_without_a_change_are_told_by_their_number_alone() {
+    let (mut first, mut second) = (registry(), registry());
+    for registry in [&mut first, &mut second] {
+        registry.announce(at(0), announced(1, "a"));
+        registry.take_fresh();
+    }
+    let mut next = announced(1, "a");
+    next.sequence = 2;
+    assert_eq!(first.announce(at(1_200), next), Heard::Same);
+    let (told, alive) = first.take_fresh();
+    assert_eq!((told.len(), &alive[..]), (0, &[(1, 2)][..]));
+    assert_eq!(second.alive(at(1_200), 1, 2), Heard::Same);
+    assert_eq!(second.alive(at(1_300), 1, 2), Heard::Late);
+    assert!(second.tick(at(4_700)).is_empty(), "it was heard at 1,200 ms");
+    assert_eq!(second.tick(at(4_800)).len(), 1);
+    assert_eq!(second.alive(at(4_900), 1, 5), Heard::Changed, "it is back");
+    second.leave(at(5_000), 1);
+    assert_eq!(second.alive(at(5_100), 1, 9), Heard::Late);
+    assert_eq!(second.alive(at(5_100), 7, 1), Heard::Late, "nobody knows it");
+}
+
+#[test]
+fn a_change_that_was_not_told_yet_is_not_forgotten() {
+    let mut registry = registry();
+    registry.announce(at(0), announced(1, "a"));
+    let mut next = announced(1, "a");
+    next.sequence = 2;
+    registry.announce(at(100), next);
+    assert_eq!(registry.take_fresh().0.len(), 1);
 }
 
 #[test]
