--- a/src/cookie/directory.rs
+++ b/src/cookie/directory.rs
@@ -180,7 +180,7 @@
     }
 
     /// Returns whether every control VM that is reached has heard nothing of the server for long.
-    pub fn is_silent(&self, id: u64) -> bool {
+    fn is_silent(&self, id: u64) -> bool {
         let silent = |source: &Source| {
             let unknown = source.age >= self.period * SETTLED && !source.named.contains(&id);
             unknown || source.silent.contains(&id)
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -22,8 +22,8 @@
 const OPENING: Duration = Duration::from_secs(2);
 /// Time in which a VM that has started hears of the backend servers: a few of their periods.
 const LEARNING: Duration = Duration::from_secs(5);
-/// Time after which a packet counts as unanswered when it is repeated: callers repeat theirs after
-/// 200 ms, and copies that have waited here together are no sign of the server.
+/// Time after which an opening counts as unanswered when it is repeated: callers repeat theirs
+/// after 200 ms, and copies that have waited here together are no sign of the server.
 const UNANSWERED: Duration = Duration::from_millis(150);
 /// Time between two sweeps of what is old.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -43,10 +43,6 @@
     pub ends: bool,
     /// Cookie that the caller returns, 0 for none.
     pub cookie: u32,
-    /// Number of the packet's first byte in the flow.
-    pub seq: u32,
-    /// Whether the packet carries data.
-    pub data: bool,
 }
 
 /// Why a packet was dropped.
@@ -71,8 +67,6 @@
     NoServer,
     /// Its server is gone.
     ServerGone,
-    /// Its server has fallen silent and does not acknowledge data.
-    ServerSilent,
 }
 
 /// What to do with a packet.
@@ -195,7 +189,7 @@
         }
         let avoid = first.map(|note| note.tag);
         let Some(id) = self.place(now, &ends, avoid) else { return self.unplaced(now, &ends) };
-        let note = Note { tag: tag(id), opened: false, closed: false, at: now, sent: None };
+        let note = Note { tag: tag(id), opened: false, closed: false, at: now };
         self.notes.set(ends, note);
         self.evidence.asked(now, ends, id);
         self.forward(note.tag).unwrap_or(FlowVerdict::Reset(ResetReason::NoServer))
@@ -295,28 +289,14 @@
             return FlowVerdict::Reset(ResetReason::ServerGone);
         }
         let id = record.announced.id;
-        let before = noted.and_then(|note| note.sent);
-        if head.data && self.is_lost(now, id, before, head.seq) {
-            return FlowVerdict::Reset(ResetReason::ServerSilent);
-        }
         if noted.is_none_or(|note| !note.opened) {
             self.evidence.answered(&ends, id);
         }
         let closed = head.ends || noted.is_some_and(|note| note.closed && note.tag == tag);
-        // The first of equal packets counts.
-        let again = before.filter(|(seq, _)| !head.data || *seq == head.seq);
-        let sent = again.or(head.data.then_some((head.seq, now)));
-        self.notes.set(ends, Note { tag, opened: true, closed, at: now, sent });
+        self.notes.set(ends, Note { tag, opened: true, closed, at: now });
         self.forward(tag).unwrap_or(FlowVerdict::Drop(DropReason::Unknown))
     }
 
-    /// Returns whether the server `id` has fallen silent and `seq` repeats data that it has had the
-    /// time to acknowledge: the caller goes on elsewhere rather than wait for its deadline.
-    fn is_lost(&self, now: Time, id: u64, before: Option<(u32, Time)>, seq: u32) -> bool {
-        let repeated = |(first, at): (u32, Time)| first == seq && now.since(at) >= UNANSWERED;
-        before.is_some_and(repeated) && self.directory.is_silent(id)
-    }
-
     fn forward(&self, tag: u32) -> Option<FlowVerdict> {
         let server = &self.directory.by_tag(tag)?.announced;
         Some(FlowVerdict::Forward { to: server.addr, id: server.id, cookie: tag })
--- a/src/cookie/notes.rs
+++ b/src/cookie/notes.rs
@@ -24,8 +24,6 @@
     pub(crate) closed: bool,
     /// When its last packet came.
     pub(crate) at: Time,
-    /// Number of the last data that the caller sent, and when it came first.
-    pub(crate) sent: Option<(u32, Time)>,
 }
 
 /// The notes of an entry VM.
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -53,8 +53,6 @@
     FlowsResetUnserved => "flows_reset_unserved",
     /// Flows reset because their backend server is gone.
     FlowsResetGone => "flows_reset_gone",
-    /// Flows reset because their backend server is silent and does not acknowledge data.
-    FlowsResetSilent => "flows_reset_silent",
     /// Packets dropped because they carry no cookie.
     PacketsUncookied => "packets_uncookied",
     /// Packets dropped because their cookie stands for no backend server that is known.
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -359,7 +359,6 @@
         ResetReason::NoRoute => Counter::FlowsResetUnrouted,
         ResetReason::NoServer => Counter::FlowsResetUnserved,
         ResetReason::ServerGone => Counter::FlowsResetGone,
-        ResetReason::ServerSilent => Counter::FlowsResetSilent,
     }
 }
 
