--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -147,6 +147,7 @@
             node.packet(now, bytes, out);
             io.act(node, out, bytes);
         })
+        .map(drop)
     }
 
     fn event(&mut self, event: EntryEvent) {
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -138,7 +138,7 @@
     let shell = Shell {
         forwarder: Forwarder::new(now, settings.zone.clone(), settings.period),
         form,
-        socket,
+        socket: Arc::new(socket),
         port: settings.packets.port(),
         period: settings.period,
         ready,
@@ -165,7 +165,7 @@
 struct Shell<F> {
     forwarder: Forwarder,
     form: F,
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
     /// Port at which callers take packets.
     port: u16,
     period: Duration,
@@ -189,46 +189,40 @@
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            tokio::select! {
-                readable = self.socket.readable() => {
-                    if let Err(err) = readable.and_then(|()| self.drain(&mut buf)) {
-                        log::error!("event=socket_failed reason={:?}", err.to_string());
-                        return;
-                    }
-                }
+            let result = tokio::select! {
+                readable = self.socket.readable() => readable.and_then(|()| self.drain(&mut buf)),
                 message = messages.recv() => match message {
-                    Some(message) => self.fed(message),
+                    Some(message) => {
+                        self.fed(message);
+                        Ok(())
+                    }
                     None => return,
                 },
-                _ = ticks.tick() => self.tick(),
+                // What has waited while the VM stood still is found here, if not before.
+                _ = ticks.tick() => self.drain(&mut buf).map(|()| self.tick()),
+            };
+            if let Err(err) = result {
+                log::error!("event=socket_failed reason={:?}", err.to_string());
+                return;
             }
         }
     }
 
     fn drain(&mut self, buf: &mut [u8]) -> std::io::Result<()> {
-        let now = self.wake();
+        let now = now();
         let stale = now.since(self.woken) >= STILL;
-        loop {
-            let (len, _) = match self.socket.try_recv_from(buf) {
-                Ok(received) => received,
-                Err(err) if err.kind() == std::io::ErrorKind::WouldBlock => break,
-                // An earlier datagram met a closed port; the socket itself is fine.
-                Err(err) if err.kind() == std::io::ErrorKind::ConnectionRefused => continue,
-                Err(err) => return Err(err),
-            };
-            self.packet(now, &buf[..len], stale);
+        let socket = self.socket.clone();
+        let emptied = packets::drain(&socket, buf, |packet, _| self.packet(now, packet, stale))?;
+        if emptied || !stale {
+            // What has waited with the first packets is as old as they are.
+            self.woken = now;
         }
-        self.woken = now;
         if let Some(metrics) = &self.metrics {
             metrics.record(Latency::Batch, self::now().since(now));
         }
         Ok(())
     }
 
-    fn wake(&mut self) -> Time {
-        now()
-    }
-
     fn packet(&mut self, now: Time, packet: &[u8], stale: bool) {
         let Some(head) = self.form.read(packet) else {
             self.count(Counter::PacketsMalformed);
@@ -343,7 +337,6 @@
 
     fn tick(&mut self) {
         let now = now();
-        self.woken = self.woken.max(now);
         self.forwarder.tick(now);
         self.lines = 0;
         self.publish(now);
--- a/src/daemon/packets.rs
+++ b/src/daemon/packets.rs
@@ -12,7 +12,8 @@
 
 /// Takes up to [`BATCH`] datagrams that wait on `socket` and hands each to `take`.
 ///
-/// Returns without waiting once none is left; the caller waits for the socket to be readable.
+/// Returns without waiting once none is left, and whether none is; the caller waits for the socket
+/// to be readable.
 ///
 /// # Errors
 ///
@@ -21,17 +22,17 @@
     socket: &UdpSocket,
     buf: &mut [u8],
     mut take: impl FnMut(&[u8], SocketAddr),
-) -> io::Result<()> {
+) -> io::Result<bool> {
     for _ in 0..BATCH {
         match socket.try_recv_from(buf) {
             Ok((len, from)) => take(&buf[..len], from),
-            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Ok(true),
             // An earlier datagram met a closed port; the socket itself is fine.
             Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => {}
             Err(err) => return Err(err),
         }
     }
-    Ok(())
+    Ok(false)
 }
 
 /// Sends `bytes` without waiting; returns whether they left.
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -56,7 +56,7 @@
         buf: &mut [u8],
         mut take: impl FnMut(std::result::Result<(Name, PeerMessage), Counter>),
     ) -> io::Result<()> {
-        packets::drain(&self.socket, buf, |bytes, _| take(self.open(bytes)))
+        packets::drain(&self.socket, buf, |bytes, _| take(self.open(bytes))).map(drop)
     }
 
     /// Sends `message` to the VM `to`; returns whether it left.
--- /dev/null
+++ b/src/daemon/registrar/gossip.rs
@@ -0,0 +1,118 @@
+//! What a control VM tells the others and entry VMs of backend servers.
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use tokio::sync::mpsc;
+
+use super::shell::{Peer, Shell};
+use crate::{
+    cookie::{ControlSeat, FeedMessage, Gossip, Heard, ServerRecord},
+    daemon::link::{self, Parcel, PeerFrame},
+    name::Name,
+};
+
+/// Time without gossip after which a control VM that is no member is not named to entry VMs.
+const PRESENT: Duration = Duration::from_secs(6);
+
+impl Shell {
+    /// Tells entry VMs and the other control VMs of changed servers; the receiver hears of each
+    /// VM that has it.
+    pub(super) fn spread(&mut self, records: Vec<ServerRecord>) -> mpsc::Receiver<()> {
+        self.changed = true;
+        let (sender, arrived) = mpsc::channel(1);
+        let message = FeedMessage::Servers { all: false, records: records.clone() };
+        self.publisher.send(&message, Some(&sender));
+        self.gossip(false, records, Vec::new(), Some(&sender));
+        arrived
+    }
+
+    pub(super) fn gossip(
+        &mut self,
+        asks: bool,
+        records: Vec<ServerRecord>,
+        alive: Vec<(u64, u64)>,
+        arrived: Option<&mpsc::Sender<()>>,
+    ) {
+        let gossip = Gossip { from: self.seat(), asks, age: None, records, alive };
+        for to in self.others() {
+            let parcel =
+                Parcel { message: PeerFrame::Gossip(gossip.clone()), arrived: arrived.cloned() };
+            self.post(to, parcel);
+        }
+    }
+
+    pub(super) fn post(&mut self, to: SocketAddr, parcel: Parcel<PeerFrame>) {
+        let link = self.links.entry(to).or_insert_with(|| link::start(to, self.reached.clone()));
+        // A full queue loses the message, as the way there may.
+        _ = link.try_send(parcel);
+    }
+
+    pub(super) fn seat(&self) -> ControlSeat {
+        ControlSeat { addr: self.settings.listen, zone: self.settings.zone.clone() }
+    }
+
+    /// Returns where the other control VMs are reached.
+    pub(super) fn others(&self) -> BTreeSet<SocketAddr> {
+        let now = self.now();
+        let members = self.node.replica().members().all().map(|(_, seat)| seat.addr);
+        let mut others: BTreeSet<_> = members.collect();
+        others.extend(&self.settings.seeds);
+        let present = self.peers.iter().filter(|(_, peer)| now.since(peer.heard) < PRESENT);
+        others.extend(present.map(|(addr, _)| *addr));
+        others.remove(&self.settings.listen);
+        others
+    }
+
+    pub(super) fn heard(&mut self, gossip: Gossip) {
+        let now = self.now();
+        let Gossip { from, asks, age, records, alive } = gossip;
+        let peer = Peer { zone: from.zone, heard: now };
+        self.peers.insert(from.addr, peer);
+        let mut changed = Vec::new();
+        for record in records {
+            let id = record.announced.id;
+            if self.registry.gossip(now, record) == Heard::Changed {
+                changed.extend(self.registry.get(id).cloned());
+            }
+        }
+        for (id, sequence) in alive {
+            if self.registry.alive(now, id, sequence) == Heard::Changed {
+                changed.extend(self.registry.get(id).cloned());
+            }
+        }
+        if !changed.is_empty() {
+            self.changed = true;
+            let message = FeedMessage::Servers { all: false, records: changed };
+            self.publisher.send(&message, None);
+        }
+        if let Some(age) = age {
+            self.registry.inherit(now, age);
+            self.caught_up = true;
+        }
+        if asks {
+            self.tell_all(from.addr);
+        }
+    }
+
+    /// Tells a control VM all that is known; what was told before it was reached may be lost.
+    pub(super) fn tell_all(&mut self, to: SocketAddr) {
+        let age = Some(self.registry.age(self.now()));
+        let records = self.registry.records().cloned().collect();
+        let gossip = Gossip { from: self.seat(), asks: false, age, records, alive: Vec::new() };
+        self.post(to, Parcel { message: PeerFrame::Gossip(gossip), arrived: None });
+    }
+
+    pub(super) fn beat(&self) -> FeedMessage {
+        let now = self.now();
+        let seats = self.others().into_iter().map(|addr| {
+            let zone = self.peers.get(&addr).map_or_else(|| Name::from(""), |p| p.zone.clone());
+            ControlSeat { addr, zone }
+        });
+        FeedMessage::Beat {
+            index: self.node.state().index,
+            fresh: self.node.is_fresh(now),
+            age: self.registry.age(now),
+            seats: seats.chain([self.seat()]).collect(),
+        }
+    }
+}
