--- a/tests/voter_places.rs
+++ b/tests/voter_places.rs
@@ -119,7 +119,7 @@
         replicas.stop(&leader);
         let next = |replicas: &Replicas| replicas.leader().is_some_and(|next| next != leader);
         // An election that waits for the old leader takes 1.5 s or more.
-        let limit = Duration::from_millis(1_200);
+        let limit = Duration::from_millis(800);
         assert!(replicas.run_until(limit, next), "seed {seed}");
         assert_eq!(replicas.violations, Vec::<String>::new());
     }
