Ask silent servers rather than none where all are silent at once

While one control VM stood still, servers announced themselves late (each try there costs a second, against a silence limit of 900 ms), every control VM judged all six silent, and each new flow was reset though all servers lived. A control VM that went on after standing still judged them all silent too, for the time in which it could hear nobody. Change: where every server of a service that could take flows is silent, those that have not left openings unanswered take new flows; one that is heard comes first, and none of an availability zone that is out. A control VM leaves a pause of its own out of the silence of servers.

--- a/src/cookie/directory.rs
+++ b/src/cookie/directory.rs
@@ -27,6 +27,8 @@
     Cold,
     /// It takes packets of its flows only.
     Old,
+    /// It takes new flows where nothing better is left: nothing was heard of it for some time.
+    Silent,
     /// It takes nothing.
     Not,
 }
@@ -173,8 +175,8 @@
             ServerState::Gone => Usable::Not,
             _ if self.tags.get(&tag(id)) != Some(&id) => Usable::Not,
             ServerState::Draining => Usable::Old,
-            ServerState::Ready if self.is_silent(id) => Usable::Old,
             ServerState::Ready if now < server.cold_until => Usable::Cold,
+            ServerState::Ready if self.is_silent(id) => Usable::Silent,
             ServerState::Ready => Usable::New,
         }
     }
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -243,8 +243,21 @@
         }
         // Where the chosen service has no server left, the others of the route are allowed too.
         let rest = route.shares.iter().filter(|share| share.weight > 0);
-        let mut services = chosen.into_iter().chain(rest).map(|share| &share.service);
-        services.find_map(|service| choose(key, self.candidates(now, ends, service, avoid)))
+        let services = chosen.into_iter().chain(rest).map(|share| &share.service);
+        let take =
+            |service, wanted| choose(key, self.candidates(now, ends, service, avoid, wanted));
+        let heard = services.clone().find_map(|service| take(service, Usable::New));
+        heard.or_else(|| {
+            let mut silent = services.filter(|service| self.is_unheard(now, service));
+            silent.find_map(|service| take(service, Usable::Silent))
+        })
+    }
+
+    /// Returns whether every server of a service that could take flows is silent: that many do
+    /// not fail at once, but what carries their announcements may.
+    fn is_unheard(&self, now: Time, service: &Name) -> bool {
+        let mut servers = self.directory.of_service(now, service);
+        servers.all(|(_, usable)| !matches!(usable, Usable::New | Usable::Cold))
     }
 
     fn candidates(
@@ -253,17 +266,20 @@
         ends: &Ends,
         service: &Name,
         avoid: Option<u32>,
+        wanted: Usable,
     ) -> impl Iterator<Item = Candidate> {
         let caller = *ends.0.ip();
         let servers = self.directory.of_service(now, service);
         servers.filter_map(move |(record, usable)| {
             let server = &record.announced;
-            let allowed = usable == Usable::New && !self.plan.out.contains(&server.zone);
+            let suspect = self.evidence.is_suspect(now, server.id);
+            let answers = wanted != Usable::Silent || !suspect;
+            let allowed = usable == wanted && answers && !self.plan.out.contains(&server.zone);
             allowed.then(|| Candidate {
                 id: server.id,
                 near: server.zone == self.zone,
                 suspect: avoid == Some(tag(server.id))
-                    || self.evidence.is_suspect(now, server.id)
+                    || suspect
                     || self.evidence.waits(caller, server.id),
                 flows: self.notes.open(tag(server.id)),
             })
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -44,6 +44,8 @@
     period: Duration,
     /// When the registry began to hear announcements.
     since: Time,
+    /// When it last judged who is silent.
+    judged: Option<Time>,
     servers: BTreeMap<u64, Known>,
     /// The server that started last at each address, with its start.
     latest: BTreeMap<SocketAddrV4, (u64, u64)>,
@@ -52,7 +54,13 @@
 impl Registry {
     /// Returns an empty registry of servers that announce themselves once a `period`.
     pub fn new(now: Time, period: Duration) -> Registry {
-        Registry { period, since: now, servers: BTreeMap::new(), latest: BTreeMap::new() }
+        Registry {
+            period,
+            since: now,
+            judged: None,
+            servers: BTreeMap::new(),
+            latest: BTreeMap::new(),
+        }
     }
 
     /// Returns the registry with servers that were there before this VM was down; one that does
@@ -171,8 +179,18 @@
         (records, alive)
     }
 
+    /// Leaves out of every server's silence the time in which this VM stood still and heard nobody.
+    fn excuse(&mut self, now: Time) {
+        let pause = self.judged.map_or(Duration::ZERO, |judged| now.since(judged));
+        self.judged = Some(now);
+        if pause >= self.period {
+            self.servers.values_mut().for_each(|known| known.heard = now.min(known.heard + pause));
+        }
+    }
+
     /// Notes which servers have fallen silent or lost their address; returns the changed records.
     pub fn tick(&mut self, now: Time) -> Vec<ServerRecord> {
+        self.excuse(now);
         let limit = self.period * MISSED;
         let sure = self.age(now) >= limit;
         let mut changed = Vec::new();
--- a/tests/cookie_forward.rs
+++ b/tests/cookie_forward.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use galenatrail::{
-    DropReason, FeedMessage, FlowVerdict, Forwarder, ResetReason, ServerRecord, ServerState, Time,
-    tag,
+    Announcement, DropReason, FeedMessage, FlowVerdict, Forwarder, ResetReason, ServerRecord,
+    ServerState, Time, tag,
 };
 
 #[path = "support/cookie.rs"]
@@ -61,6 +61,46 @@
     assert_eq!(sent(forwarder.packet(at(2_100), &opening(1, 4), false)).0, 2);
 }
 
+/// Tells that nothing is heard of servers any more.
+fn silence(forwarder: &mut Forwarder, now: Time, servers: &[Announcement]) {
+    let mut records: Vec<_> = servers.iter().cloned().map(ServerRecord::new).collect();
+    records.iter_mut().for_each(|record| record.silent = true);
+    forwarder.fed(now, source(), FeedMessage::Servers { all: false, records });
+}
+
+#[test]
+fn servers_that_are_all_silent_at_once_are_asked_rather_than_none() {
+    let mut draining = announced(3, "a");
+    draining.draining = true;
+    let servers = [announced(1, "a"), announced(2, "b"), draining];
+    let mut forwarder = forwarder(&servers);
+    silence(&mut forwarder, at(10), &servers);
+    for port in 1..100 {
+        let head = opening(port as u8, port);
+        let (id, cookie) = sent(forwarder.packet(at(20), &head, false));
+        assert_eq!(id, 1);
+        forwarder.packet(at(21), &following(head, cookie), false);
+    }
+    forwarder.fed(at(30), source(), FeedMessage::Plan(plan(2, &["a"])));
+    assert_eq!(sent(forwarder.packet(at(40), &opening(1, 200), false)).0, 2);
+    learn(&mut forwarder, at(50), vec![Announcement { born: 2_000, ..announced(4, "b") }]);
+    assert_eq!(sent(forwarder.packet(at(60), &opening(1, 201), false)).0, 4);
+}
+
+#[test]
+fn silent_servers_that_do_not_answer_are_not_asked_for_long() {
+    let servers = [announced(1, "a"), announced(2, "b")];
+    let mut forwarder = forwarder(&servers);
+    silence(&mut forwarder, at(10), &servers);
+    let verdicts = (0..100).map(|step| {
+        let now = at(20 + u64::from(step) * 20);
+        forwarder.packet(now, &opening(step as u8, 1_000 + step), false)
+    });
+    let refused = FlowVerdict::Reset(ResetReason::NoServer);
+    let asked = verdicts.filter(|verdict| *verdict != refused).count();
+    assert!((1..=20).contains(&asked), "{asked} openings had to wait for an answer");
+}
+
 #[test]
 fn late_news_of_a_server_changes_nothing() {
     let mut forwarder = forwarder(&[]);
--- a/tests/registry_rules.rs
+++ b/tests/registry_rules.rs
@@ -80,6 +80,19 @@
     assert_eq!(registry.tick(at(60_000 + 3_600)).len(), 1);
 }
 
+#[test]
+fn a_control_vm_that_stood_still_calls_nobody_silent_at_once() {
+    let mut registry = registry();
+    registry.announce(at(0), announced(1, "a"));
+    for step in 0..4 {
+        assert!(registry.tick(at(step * 400)).is_empty());
+    }
+    // The announcements of meanwhile went to other control VMs.
+    assert!(registry.tick(at(10_000)).is_empty());
+    let judged = (1..10).find(|step| !registry.tick(at(10_000 + step * 400)).is_empty());
+    assert_eq!(judged, Some(6), "it was heard 1.2 s before the VM stood still");
+}
+
 #[test]
 fn other_control_vms_are_told_once_of_what_was_heard_here() {
     let (mut first, mut second) = (registry(), registry());
