Never wait for the reader of the log

Cause: lines were written to standard output in line. A control VM whose output nobody reads stopped once 64 KiB were in the pipe: the new test had no further order acknowledged and was ended after ten minutes. Change: a line is written only where poll says that the output takes it; others are counted and told by event=lines_lost with the next line that is written. Lines are cut at 4,096 bytes, what a pipe takes at once. No thread and no change of the descriptor's flags, which other processes may share. The quickstart now tells how many broken flows had just opened when an entry VM was lost.

--- a/examples/quickstart/flows.rs
+++ b/examples/quickstart/flows.rs
@@ -30,12 +30,17 @@
 const TRIES: usize = 40;
 const PACKET_PERIOD: Duration = Duration::from_millis(100);
 const LIFE_MS: std::ops::Range<u64> = 2_000..9_000;
+/// Age up to which the record of a flow may be lost with its owner: replication interval, tick and
+/// the way to the second owner.
+const YOUNG: Duration = Duration::from_millis(300);
 
 /// What all callers share.
 pub(crate) struct Callers {
     fabric: Fabric,
     zones: BTreeMap<Name, Name>,
     given_up: Mutex<BTreeSet<Name>>,
+    /// When an entry VM ended without notice.
+    loss: Mutex<Option<Instant>>,
     stopped: AtomicBool,
 }
 
@@ -44,7 +49,18 @@
     pub(crate) fn new(fabric: Fabric, servers: &[(Announce, Server)]) -> Callers {
         let zones = servers.iter().map(|(me, _)| (me.server.clone(), me.zone.clone())).collect();
         let stopped = AtomicBool::new(false);
-        Callers { fabric, zones, given_up: Mutex::default(), stopped }
+        Callers { fabric, zones, given_up: Mutex::default(), loss: Mutex::default(), stopped }
+    }
+
+    /// Notes that an entry VM ends without notice now.
+    pub(crate) fn note_loss(&self) {
+        *self.loss.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+
+    /// Returns whether a flow that opened at `opened` was young when an entry VM was lost.
+    fn was_young(&self, opened: Instant) -> bool {
+        let loss = *self.loss.lock().unwrap_or_else(PoisonError::into_inner);
+        loss.is_some_and(|loss| opened <= loss && loss - opened <= YOUNG)
     }
 
     /// Gives up the flows that end in `zone`.
@@ -98,6 +114,8 @@
     pub(crate) opened: u64,
     /// Flows that broke.
     pub(crate) broken: u64,
+    /// Those of them that had just opened when an entry VM was lost.
+    pub(crate) young: u64,
     /// Flows that ended with an availability zone taken out.
     pub(crate) given_up: u64,
     /// Flows that could not open.
@@ -106,7 +124,7 @@
 
 enum End {
     Whole,
-    Broken,
+    Broken { young: bool },
     GivenUp,
     Unopened,
 }
@@ -125,6 +143,7 @@
         let counts = task.await??;
         sum.opened += counts.opened;
         sum.broken += counts.broken;
+        sum.young += counts.young;
         sum.given_up += counts.given_up;
         sum.unopened += counts.unopened;
     }
@@ -145,7 +164,10 @@
         counts.opened += u64::from(!matches!(end, End::Unopened));
         match end {
             End::Whole => {}
-            End::Broken => counts.broken += 1,
+            End::Broken { young } => {
+                counts.broken += 1;
+                counts.young += u64::from(young);
+            }
             End::GivenUp => counts.given_up += 1,
             End::Unopened => counts.unopened += 1,
         }
@@ -157,6 +179,7 @@
     let end = Instant::now() + Duration::from_millis(rng.random_range(LIFE_MS));
     let open = tcp_packet(addr, fleet::hub(), true, b"");
     let Some(server) = exchange(callers, caller, rng, &open).await else { return End::Unopened };
+    let opened = Instant::now();
     let data = tcp_packet(addr, fleet::hub(), false, b"job");
     while Instant::now() < end {
         sleep(PACKET_PERIOD).await;
@@ -169,7 +192,7 @@
         }
         // A reset, another backend server or silence.
         if answer.as_deref() != Some(&*server) {
-            return End::Broken;
+            return End::Broken { young: callers.was_young(opened) };
         }
     }
     End::Whole
--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -47,6 +47,7 @@
     say("backend server hub-3 drains");
     sleep(STEP).await;
 
+    callers.note_loss();
     fleet.restart(2).await?;
     say("entry VM plovdiv-1 restarted without notice");
     sleep(STEP).await;
--- a/examples/quickstart/outcome.rs
+++ b/examples/quickstart/outcome.rs
@@ -53,9 +53,10 @@
     /// Returns the last line of a run.
     pub(crate) fn line(&self) -> String {
         format!(
-            "flows={} broken={} requests={} doubled={} lost={} untrue_refusals={} misrouted={}",
+            "flows={} broken={} young={} requests={} doubled={} lost={} untrue_refusals={} misrouted={}",
             self.flows.opened,
             self.flows.broken,
+            self.flows.young,
             self.ends.len(),
             self.doubled(),
             self.lost(),
--- a/src/daemon/logging.rs
+++ b/src/daemon/logging.rs
@@ -1,6 +1,13 @@
 //! Log output of the daemons.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::{
+    io,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+mod lines;
+
+use lines::Lines;
 
 use crate::error::{Error, Result};
 
@@ -23,12 +30,14 @@
 }
 
 /// Sends log lines of level `info` and above to standard output, each with the time of day in
-/// milliseconds since 1970.
+/// milliseconds since 1970. A line that would have to wait for the reader is counted as lost
+/// instead.
 ///
 /// # Errors
 ///
 /// Fails when a logger is installed already.
 pub fn init_stdout_logging() -> Result<()> {
+    let lines = Lines::new(io::stdout());
     fern::Dispatch::new()
         .format(move |out, message, record| {
             let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -37,7 +46,7 @@
         .level(log::LevelFilter::Warn)
         .level_for("galenatrail", log::LevelFilter::Info)
         .level_for("galenatrail_platform", log::LevelFilter::Info)
-        .chain(std::io::stdout())
+        .chain(fern::Output::call(move |record| lines.write(record.args())))
         .apply()
         .map_err(|err| Error::settings(format!("{err}; install one logger per process")))
 }
