Gather changes of servers for 100 ms before entry VMs are told

Cause: each change of a server went to each entry VM as a message of its own, from two control VMs. Change: changes wait for at most 100 ms and go together (src/cookie/news.rs, without network or clock); the end or the draining of a server goes at once and takes along what waits. Other control VMs are told as before.

--- a/src/daemon/registrar/gossip.rs
+++ b/src/daemon/registrar/gossip.rs
@@ -20,12 +20,22 @@
     pub(super) fn spread(&mut self, records: Vec<ServerRecord>) -> mpsc::Receiver<()> {
         self.changed = true;
         let (sender, arrived) = mpsc::channel(1);
-        let message = FeedMessage::Servers { all: false, records: records.clone() };
-        self.publisher.send(&message, Some(&sender));
+        self.publish(records.clone(), Some(&sender));
         self.gossip(false, records, Vec::new(), Some(&sender));
         arrived
     }
 
+    /// Tells entry VMs of changed servers, of most of them with the next message.
+    pub(super) fn publish(
+        &mut self,
+        records: Vec<ServerRecord>,
+        arrived: Option<&mpsc::Sender<()>>,
+    ) {
+        if let Some(records) = self.news.add(self.now(), records) {
+            self.publisher.send(&FeedMessage::Servers { all: false, records }, arrived);
+        }
+    }
+
     pub(super) fn gossip(
         &mut self,
         asks: bool,
@@ -82,8 +92,7 @@
         }
         if !changed.is_empty() {
             self.changed = true;
-            let message = FeedMessage::Servers { all: false, records: changed };
-            self.publisher.send(&message, None);
+            self.publish(changed, None);
         }
         if let Some(age) = age {
             self.registry.inherit(now, age);
--- a/src/daemon/registrar/shell.rs
+++ b/src/daemon/registrar/shell.rs
@@ -10,7 +10,7 @@
 use super::{Call, RegistrarSettings, TICK};
 use crate::{
     control::{ControlAction, ControlEvent, ControlNode, Envelope, Fate, Submission},
-    cookie::{Announcement, FeedMessage, Heard, Kept, Registry, ServerRecord},
+    cookie::{Announcement, FeedMessage, Heard, Kept, News, Registry, ServerRecord},
     counter::{Counter, Counters},
     daemon::{
         link::{Parcel, PeerFrame},
@@ -51,6 +51,7 @@
     pub(super) node: ControlNode,
     pub(super) registry: Registry,
     pub(super) publisher: Publisher,
+    pub(super) news: News,
     writes: mpsc::UnboundedSender<Job>,
     pub(super) metrics: Option<Metrics>,
     counters: Counters,
@@ -87,6 +88,7 @@
             node,
             registry,
             publisher,
+            news: News::new(),
             writes,
             metrics: None,
             counters: Counters::new(),
@@ -245,10 +247,12 @@
             self.counters.add(Counter::ServersSilent, silent as u64);
             if !changed.is_empty() {
                 changed.iter().for_each(|record| log_record("judged", record));
-                let message = FeedMessage::Servers { all: false, records: changed };
-                self.publisher.send(&message, None);
+                self.publish(changed, None);
             }
         }
+        if let Some(records) = self.news.due(now) {
+            self.publisher.send(&FeedMessage::Servers { all: false, records }, None);
+        }
         self.keep(now);
         if now >= self.beat_due {
             self.beat_due = now + BEAT;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,7 +75,7 @@
     },
     cookie::{
         Announcement, Candidate, ControlSeat, Directory, DropReason, FeedMessage, FlowVerdict,
-        Forwarder, Gossip, Head, Heard, Kept, Plan, Registry, ResetReason, ServerRecord,
+        Forwarder, Gossip, Head, Heard, Kept, News, Plan, Registry, ResetReason, ServerRecord,
         ServerState, Usable, choose, tag,
     },
     counter::{Counter, Counters},
