Add galenactl cookies status and explain

Cause: operators could read what entry VMs of the cookie path are told only from log lines of several processes, and could not ask why a flow reaches one server and not another. Change: galenactl takes the feed of a control VM as an entry VM that starts does, and prints it (status), or hands it to a forwarder and prints the decision with every server weighed (explain). The forwarder explains itself (src/cookie/explain.rs); text and JSON.

--- a/src/cookie.rs
+++ b/src/cookie.rs
@@ -7,6 +7,7 @@
 mod balance;
 mod directory;
 mod evidence;
+mod explain;
 mod feed;
 mod forwarder;
 mod news;
@@ -16,6 +17,7 @@
 
 pub use balance::{Candidate, choose};
 pub use directory::{Directory, Usable};
+pub use explain::{Explanation, Weighed};
 pub use feed::{ControlSeat, FeedMessage, Gossip, Kept, Plan};
 pub use forwarder::{DropReason, FlowVerdict, Forwarder, Head, ResetReason};
 pub use news::News;
--- a/src/cookie/directory.rs
+++ b/src/cookie/directory.rs
@@ -6,6 +6,8 @@
     time::Duration,
 };
 
+use serde::Serialize;
+
 use crate::{
     cookie::record::{ServerRecord, ServerState, tag},
     name::Name,
@@ -20,6 +22,7 @@
 
 /// What may be done with a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 pub enum Usable {
     /// It takes new flows.
     New,
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -11,6 +11,7 @@
     balance::{Candidate, choose},
     directory::{Directory, Usable},
     evidence::Evidence,
+    explain::Weighed,
     feed::{FeedMessage, Plan},
     notes::{Ends, Note, Notes},
     record::{ServerState, tag},
@@ -267,6 +268,26 @@
         servers.all(|(_, usable)| !matches!(usable, Usable::New | Usable::Cold))
     }
 
+    /// Returns every server of the route's services.
+    pub(super) fn weigh(&self, now: Time, head: &Head) -> Vec<Weighed> {
+        let shares = self.routes.get(&head.route).into_iter().flat_map(|route| &route.shares);
+        let servers = shares.flat_map(|share| self.directory.of_service(now, &share.service));
+        let weighed = servers.map(|(record, usable)| {
+            let server = &record.announced;
+            Weighed {
+                id: server.id,
+                service: server.service.clone(),
+                addr: server.addr,
+                zone: server.zone.clone(),
+                usable,
+                out: self.plan.out.contains(&server.zone),
+                suspect: self.evidence.is_suspect(now, server.id),
+                flows: self.notes.open(tag(server.id)),
+            }
+        });
+        weighed.collect()
+    }
+
     fn candidates(
         &self,
         now: Time,
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -10,6 +10,7 @@
 
 mod apply;
 mod call;
+mod cookies;
 mod operate;
 mod read;
 mod show;
@@ -51,6 +52,7 @@
     Zone(operate::Zone),
     Drain(operate::Drain),
     Status(status::Status),
+    Cookies(cookies::Cookies),
     Token(token::Token),
 }
 
@@ -93,6 +95,9 @@
     if let Action::Token(token) = action {
         return token.run(json);
     }
+    if let Action::Cookies(cookies) = action {
+        return cookies.run(&control, json).await;
+    }
     let caller = Caller::new(control, token)?;
     match action {
         Action::Get(get) => get.run(&caller, json).await,
@@ -102,6 +107,6 @@
         Action::Zone(zone) => zone.run(&caller, json).await,
         Action::Drain(drain) => drain.run(&caller, json).await,
         Action::Status(status) => status.run(&caller, json).await,
-        Action::Token(_) => Ok(()),
+        Action::Token(_) | Action::Cookies(_) => Ok(()),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,9 +74,9 @@
         Request, Role, Seat, Signer, Snapshot, Storage, Submission, Write, accepted,
     },
     cookie::{
-        Announcement, Candidate, ControlSeat, Directory, DropReason, FeedMessage, FlowVerdict,
-        Forwarder, Gossip, Head, Heard, Kept, News, Plan, Registry, ResetReason, ServerRecord,
-        ServerState, Usable, choose, tag,
+        Announcement, Candidate, ControlSeat, Directory, DropReason, Explanation, FeedMessage,
+        FlowVerdict, Forwarder, Gossip, Head, Heard, Kept, News, Plan, Registry, ResetReason,
+        ServerRecord, ServerState, Usable, Weighed, choose, tag,
     },
     counter::{Counter, Counters},
     ctl::run_ctl,
