Split the membership service by what it does

Cause: src/member/service.rs had 531 lines: messages of others, rounds and the view in one file. Change: service/hear.rs has the answers to messages, service/rounds.rs the work of a tick; the service keeps its state, the view and the spreading of news. Moved code only.

--- a/src/member/service.rs
+++ b/src/member/service.rs
@@ -1,17 +1,20 @@
 //! The service for membership; the only writer of [`Shared::view`], [`Shared::previous`],
 //! [`Shared::book`] and [`Shared::me`].
 
-use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr};
+
+mod hear;
+mod rounds;
 
 use crate::{
     counter::Counter,
     entry::{EntryAction, EntryContext, EntryMessage, Shared},
     kernel::Service,
     member::{
-        Member, MemberMessage, MemberRecord, MemberStatus, Reach, View,
+        Member, MemberMessage, MemberRecord, Reach, View,
         contacts::Contacts,
-        detector::{self, Detector, HEARTBEAT_PERIOD, Step, WATCHERS},
-        own::{Change, Own},
+        detector::{self, Detector, WATCHERS},
+        own::Own,
         table::{Merge, Table},
     },
     name::Name,
@@ -19,21 +22,9 @@
     time::Time,
 };
 
-/// Time between two attempts to reach a VM that is gone, or a seed that is not known.
-const REJOIN_PERIOD: Duration = Duration::from_millis(500);
-
-/// Time between two requests for repair.
-const REPAIR_PERIOD: Duration = Duration::from_millis(100);
-
-/// VMs through which a suspected VM is probed.
-const HELPERS: usize = 3;
-
 /// Records in one message.
 const BATCH: usize = 64;
 
-/// Time between two searches for records to forget.
-const EXPIRY_PERIOD: Duration = Duration::from_secs(60);
-
 /// Where news comes from, which says who else has to hear it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
@@ -126,137 +117,6 @@
         }
     }
 
-    fn join(&mut self, now: Time, from: &Name, record: MemberRecord, cx: &mut EntryContext<'_>) {
-        if record.member.name != *from {
-            return;
-        }
-        let source = self.source(&record.member.zone);
-        self.learn(now, vec![record], source, cx);
-        self.correct(from, cx);
-        self.ask_digests(from, cx);
-    }
-
-    fn heartbeat(
-        &mut self,
-        now: Time,
-        from: &Name,
-        version: (u64, u32),
-        digest: u64,
-        cx: &mut EntryContext<'_>,
-    ) {
-        match self.table.get(from) {
-            Some(known) if known.is_alive() && known.version() >= version => {
-                self.detector.heard(now, from);
-            }
-            Some(known) if known.version() >= version => self.correct(from, cx),
-            _ => {}
-        }
-        if digest != self.table.whole_digest(&self.reach) && now >= self.repair_at {
-            self.repair_at = now + REPAIR_PERIOD;
-            cx.count(Counter::MemberRepairs);
-            self.ask_digests(from, cx);
-        }
-    }
-
-    fn probe_answer(
-        &mut self,
-        now: Time,
-        from: &Name,
-        origin: Name,
-        target: Name,
-        cx: &mut EntryContext<'_>,
-    ) {
-        if origin == self.me().name {
-            self.detector.heard(now, &target);
-        } else if *from == target {
-            send(cx, &origin.clone(), MemberMessage::ProbeAnswer { origin, target });
-        }
-    }
-
-    /// Sends the records of availability zones whose digest differs from that in `zones`.
-    fn compare(
-        &self,
-        from: &Name,
-        zones: &std::collections::BTreeMap<Name, u64>,
-        whole: bool,
-        answer: bool,
-        cx: &mut EntryContext<'_>,
-    ) {
-        let own = self.table.digests();
-        let mut names: BTreeSet<&Name> = zones.keys().collect();
-        if whole {
-            names.extend(own.keys());
-        }
-        names.retain(|zone| {
-            self.table.digest(zone) != zones.get(*zone).copied().unwrap_or_default()
-        });
-        for zone in &names {
-            let records: Vec<_> = self.table.zone(zone).cloned().collect();
-            for batch in records.chunks(BATCH) {
-                send(cx, from, MemberMessage::Records(batch.to_vec()));
-            }
-        }
-        if answer && !names.is_empty() {
-            let zones = names.iter().map(|&zone| (zone.clone(), self.table.digest(zone))).collect();
-            let reach = self.reach.clone();
-            let digests = MemberMessage::Digests { zones, whole: false, answer: false, reach };
-            send(cx, from, digests);
-        }
-    }
-
-    fn records(
-        &mut self,
-        now: Time,
-        from: &Name,
-        records: Vec<MemberRecord>,
-        cx: &mut EntryContext<'_>,
-    ) {
-        let zone = self.table.get(from).map(|record| record.member.zone.clone());
-        let source = zone.map_or(Source::Outside, |zone| self.source(&zone));
-        self.learn(now, records, source, cx);
-    }
-
-    fn summary(
-        &mut self,
-        now: Time,
-        from: &Name,
-        digest: u64,
-        hears: bool,
-        answer: bool,
-        cx: &mut EntryContext<'_>,
-    ) {
-        let Some(known) = self.table.get(from) else {
-            self.ask_digests(from, cx);
-            return;
-        };
-        let zone = known.member.zone.clone();
-        if !known.is_alive() {
-            self.correct(from, cx);
-        }
-        self.contacts.heard(now, &zone, hears);
-        if digest != self.table.digest(&zone) {
-            cx.count(Counter::MemberRepairs);
-            let zones = [(zone.clone(), self.table.digest(&zone))].into();
-            let reach = self.reach.clone();
-            send(cx, from, MemberMessage::Digests { zones, whole: false, answer: true, reach });
-        }
-        if answer {
-            let digest = self.table.digest(&self.me().zone);
-            send(cx, from, MemberMessage::Summary { digest, hears: true, answer: false });
-        }
-    }
-
-    /// Takes over the finding of this availability zone's head.
-    fn take_reach(&mut self, now: Time, reach: Reach, cx: &mut EntryContext<'_>) {
-        let inside = self.table.get(&reach.author);
-        if inside.is_none_or(|author| author.member.zone != self.me().zone) || reach <= self.reach {
-            return;
-        }
-        self.reach = reach;
-        self.stale = true;
-        self.refresh(now, cx);
-    }
-
     /// Merges records and passes on what was news.
     fn learn(
         &mut self,
@@ -321,18 +181,6 @@
         }
     }
 
-    /// Tells `from` how it stands here, where that is not what it believes.
-    fn correct(&self, from: &Name, cx: &mut EntryContext<'_>) {
-        let Some(record) = self.table.get(from).filter(|record| !record.is_alive()) else { return };
-        send(cx, from, MemberMessage::Records(vec![record.clone()]));
-    }
-
-    fn ask_digests(&self, to: &Name, cx: &mut EntryContext<'_>) {
-        let zones = self.table.digests().clone();
-        let reach = self.reach.clone();
-        send(cx, to, MemberMessage::Digests { zones, whole: true, answer: true, reach });
-    }
-
     fn source(&self, zone: &Name) -> Source {
         if *zone == self.me().zone { Source::Inside } else { Source::Outside }
     }
@@ -363,147 +211,6 @@
         let addrs = self.table.records().map(|record| &record.member);
         cx.shared.book = addrs.map(|member| (member.name.clone(), member.peers)).collect();
     }
-
-    fn tick(&mut self, now: Time, cx: &mut EntryContext<'_>) {
-        self.refresh(now, cx);
-        self.live_on(now, cx);
-        self.lead(now, cx);
-        if now >= self.beat_at {
-            self.beat_at = now + HEARTBEAT_PERIOD;
-            self.beat(cx);
-        }
-        for step in self.detector.tick(now) {
-            self.step(now, step, cx);
-        }
-        if now >= self.join_at {
-            self.join_at = now + REJOIN_PERIOD;
-            self.rejoin(cx);
-        }
-        if now >= self.expire_at {
-            self.expire_at = now + EXPIRY_PERIOD;
-            self.table.expire(now);
-        }
-    }
-
-    fn live_on(&mut self, now: Time, cx: &mut EntryContext<'_>) {
-        let view = &cx.shared.view;
-        let others = view.members.len() > 1;
-        let owners = view.members.values().any(|member| member.ready);
-        let handed = cx.shared.handover.handed || !others;
-        match self.own.tick(now, !self.seeds.is_empty(), others, owners, handed) {
-            Change::None => {}
-            Change::Renewed => self.publish(now, cx),
-            Change::Settled => {
-                cx.count(Counter::MembersSettled);
-                self.publish(now, cx);
-            }
-            Change::Left => {
-                self.publish(now, cx);
-                cx.act(EntryAction::Left);
-            }
-        }
-    }
-
-    /// Does the head's work where this VM is the head of its availability zone.
-    fn lead(&mut self, now: Time, cx: &mut EntryContext<'_>) {
-        let head = self.table.head(&self.me().zone).is_some_and(|head| head.name == self.me().name);
-        if head && !self.head {
-            self.contacts.restart(now);
-        }
-        self.head = head;
-        if !head {
-            return;
-        }
-        for due in self.contacts.due(now, &self.reach.lost) {
-            let live: Vec<_> = self.table.live(&due.zone).map(|m| m.name.clone()).collect();
-            let to = if due.urgent && !live.is_empty() {
-                live.get(due.turn % live.len())
-            } else {
-                self.table.head(&due.zone).map(|head| &head.name)
-            };
-            let Some(to) = to else { continue };
-            let hears = self.contacts.hears(now, &due.zone);
-            let digest = self.table.digest(&self.me().zone);
-            send(cx, to, MemberMessage::Summary { digest, hears, answer: due.urgent });
-        }
-        let lost = self.contacts.lost(now, &self.reach.lost);
-        if lost != self.reach.lost {
-            let author = self.me().name.clone();
-            self.reach = Reach { stamp: self.reach.stamp + 1, author, lost };
-            cx.count(Counter::ZoneReachChanges);
-            self.stale = true;
-            self.refresh(now, cx);
-            for vm in self.others_inside() {
-                send(cx, &vm, MemberMessage::Reach(self.reach.clone()));
-            }
-        }
-    }
-
-    fn others_inside(&self) -> Vec<Name> {
-        let live = self.table.live(&self.me().zone).map(|member| member.name.clone());
-        live.filter(|name| *name != self.me().name).collect()
-    }
-
-    fn beat(&self, cx: &mut EntryContext<'_>) {
-        if self.own.record.status == MemberStatus::Left {
-            return;
-        }
-        let ring: Vec<_> = self.table.live(&self.me().zone).map(|m| m.name.clone()).collect();
-        let (incarnation, renewal) = self.own.record.version();
-        let digest = self.table.whole_digest(&self.reach);
-        for vm in detector::successors(&ring, &self.me().name, WATCHERS) {
-            send(cx, &vm, MemberMessage::Heartbeat { incarnation, renewal, digest });
-        }
-    }
-
-    fn step(&mut self, now: Time, step: Step, cx: &mut EntryContext<'_>) {
-        match step {
-            Step::Suspect(_) => cx.count(Counter::MembersSuspected),
-            Step::Probe(target) => self.probe(&target, cx),
-            Step::Dead(target) => {
-                let Some(record) = self.table.get(&target) else { return };
-                let dead = MemberRecord { status: MemberStatus::Dead, ..record.clone() };
-                cx.count(Counter::MembersRemoved);
-                self.learn(now, vec![dead], Source::Own, cx);
-            }
-        }
-    }
-
-    /// Probes `target` directly and through others, first those of the same availability zone.
-    fn probe(&mut self, target: &Name, cx: &mut EntryContext<'_>) {
-        send(cx, target, MemberMessage::Probe { origin: self.me().name.clone() });
-        let inside = self.others_inside();
-        let view = cx.shared.view.members.values();
-        let outside = view.filter(|m| m.zone != self.me().zone).map(|m| m.name.clone());
-        let helpers: Vec<_> = inside.into_iter().chain(outside).filter(|vm| vm != target).collect();
-        self.turn += 1;
-        let count = helpers.len().min(HELPERS);
-        for offset in 0..count {
-            let helper = &helpers[(self.turn + offset) % helpers.len()];
-            send(cx, helper, MemberMessage::ProbeThrough { target: target.clone() });
-        }
-    }
-
-    /// Tries one VM of this availability zone that is believed dead, or seeds that are not known,
-    /// so that two sides of a partition find each other again.
-    fn rejoin(&mut self, cx: &mut EntryContext<'_>) {
-        if self.own.record.status == MemberStatus::Left {
-            return;
-        }
-        self.turn += 1;
-        let join = MemberMessage::Join(self.own.record.clone());
-        let inside = self.table.zone(&self.me().zone);
-        let dead: Vec<_> = inside.filter(|record| record.status == MemberStatus::Dead).collect();
-        if !dead.is_empty() {
-            send(cx, &dead[self.turn % dead.len()].member.name.clone(), join.clone());
-        }
-        let known: BTreeSet<_> = cx.shared.view.members.values().map(|m| m.peers).collect();
-        let unknown: Vec<_> = self.seeds.iter().filter(|seed| !known.contains(seed)).collect();
-        if !unknown.is_empty() {
-            let to = *unknown[self.turn % unknown.len()];
-            cx.act(EntryAction::ToSeed { to, message: PeerMessage::Member(join) });
-        }
-    }
 }
 
 impl Service<Shared, EntryMessage, EntryAction> for Members {
