Split the stand-in workload by what it does

Change: workload/check.rs has what must hold, workload/desk.rs the backend servers. Moved code only.

--- a/src/standin/workload.rs
+++ b/src/standin/workload.rs
@@ -25,6 +25,9 @@
     tree::Branch,
 };
 
+mod check;
+mod desk;
+
 const STEP: Duration = Duration::from_millis(1);
 /// One-way delay between an entry VM and a backend server.
 const SERVER_DELAY: Duration = Duration::from_millis(1);
@@ -32,8 +35,6 @@
 const SERVICE: &str = "127.0.9.1:5683";
 const ZONES: [&str; 4] = ["sofia-a", "sofia-b", "plovdiv", "varna"];
 const BUNDLE: &[u8] = b"bundle";
-const BUNDLE_BLOCKS: u32 = 3;
-const MORE: u32 = 1 << 3;
 
 /// What a caller was told.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -280,54 +281,6 @@
         }
     }
 
-    /// Returns what of the promises on requests does not hold.
-    pub fn violations(&self) -> Vec<String> {
-        let mut found = Vec::new();
-        for number in self.doubled() {
-            found.push(format!("request {number} ran {} times", self.runs[&number]));
-        }
-        for number in self.untrue_refusals() {
-            found.push(format!("request {number} ran although it was refused as not run"));
-        }
-        if self.misdelivered > 0 {
-            found.push(format!("{} answers misdelivered", self.misdelivered));
-        }
-        found
-    }
-
-    /// Returns the requests that are not idempotent and ran more than once.
-    pub fn doubled(&self) -> Vec<u32> {
-        let doubled = |&number: &u32| self.runs(number) > 1;
-        self.unsafe_requests().filter(doubled).collect()
-    }
-
-    /// Returns the requests that are not idempotent and ran although a caller was told that they
-    /// did not.
-    pub fn untrue_refusals(&self) -> Vec<u32> {
-        let untrue = |number: &u32| {
-            let replies = self.replies.get(number);
-            let refused = replies.is_some_and(|replies| replies.contains(&Reply::NotRun));
-            refused && self.runs(*number) > 0
-        };
-        self.unsafe_requests().filter(untrue).collect()
-    }
-
-    fn unsafe_requests(&self) -> impl Iterator<Item = u32> + '_ {
-        self.sent.iter().filter(|(_, sent)| !sent.idempotent).map(|(&number, _)| number)
-    }
-
-    fn runs(&self, number: u32) -> u64 {
-        self.runs.get(&number).copied().unwrap_or(0)
-    }
-
-    /// Returns how many requests have at least one answer.
-    pub fn answered(&self) -> u64 {
-        let answered = |replies: &&BTreeSet<Reply>| {
-            replies.iter().any(|reply| matches!(reply, Reply::Answered(_)))
-        };
-        self.replies.values().filter(answered).count() as u64
-    }
-
     fn step(&mut self) {
         let now = self.mesh.now();
         if now >= self.announced {
@@ -394,65 +347,6 @@
         }
     }
 
-    fn arrive(&mut self, to: SocketAddr, vm: Name, bytes: &[u8]) {
-        let Ok(message) = coap::decode(bytes) else { return };
-        let Some(desk) = self.desks.get_mut(&to).filter(|desk| desk.alive) else { return };
-        let id = message.header.message_id;
-        if coap::is_cancel(&message) {
-            self.cancelled += u64::from(desk.running.remove(&(vm, id)).is_some());
-            return;
-        }
-        if !coap::is_request(&message) {
-            return;
-        }
-        if let Some(answer) = probe_answer(&message, desk.running.len()) {
-            self.back(vm, to, &answer);
-            return;
-        }
-        let is_full = desk.running.len() >= desk.announce.slots as usize;
-        if is_full || self.shedding.contains(&desk.name) {
-            self.back(vm, to, &coap::refusal(&message, 1));
-            return;
-        }
-        if let Some(number) = number(&message) {
-            *self.runs.entry(number).or_default() += 1;
-        }
-        self.serial += 1;
-        let serial = self.serial;
-        desk.running.insert((vm.clone(), id), Running { request: message, serial });
-        self.push(self.service_time, Event::Done { to, vm, message: id, serial });
-    }
-
-    fn done(&mut self, to: SocketAddr, vm: &Name, message: u16, serial: u64) {
-        let Some(desk) = self.desks.get_mut(&to) else { return };
-        let key = (vm.clone(), message);
-        if desk.running.get(&key).is_none_or(|running| running.serial != serial) {
-            return;
-        }
-        let Some(running) = desk.running.remove(&key) else { return };
-        let name = desk.name.clone();
-        if self.silent.contains(&name) {
-            return;
-        }
-        let mut answer = coap::response(&running.request, ResponseType::Content);
-        answer.payload = running.request.payload.clone();
-        if is_bundle(&running.request) {
-            let block = coap::block(&running.request, CoapOption::Block2);
-            let block = block.map_or(0, |block| block.number);
-            let more = if block + 1 < BUNDLE_BLOCKS { MORE } else { 0 };
-            answer.add_option_as(CoapOption::Block2, OptionValueU32(block << 4 | more));
-            answer.add_option(CoapOption::ETag, name.as_bytes().to_vec());
-            answer.payload = format!("{name} block {block}").into_bytes();
-        }
-        if self.crossed {
-            let mut wrong = answer.clone();
-            wrong.payload = b"wrong".to_vec();
-            self.back(vm.clone(), peer_addr(1), &wrong);
-            self.back(vm.clone(), to, &answer);
-        }
-        self.back(vm.clone(), to, &answer);
-    }
-
     fn back(&mut self, vm: Name, from: SocketAddr, answer: &Packet) {
         let bytes = coap::encode(answer).expect("an answer");
         self.push(SERVER_DELAY, Event::Back { vm, from, bytes });
@@ -514,23 +408,3 @@
     request.set_token(number.to_be_bytes().to_vec());
     request
 }
-
-fn number(request: &Packet) -> Option<u32> {
-    std::str::from_utf8(&request.payload).ok()?.parse().ok()
-}
-
-fn is_bundle(request: &Packet) -> bool {
-    request.get_first_option(CoapOption::UriPath).is_some_and(|path| path == BUNDLE)
-}
-
-/// Answers a probe of health or load, or returns `None` where it is none.
-fn probe_answer(message: &Packet, running: usize) -> Option<Packet> {
-    let path = message.get_first_option(CoapOption::UriPath)?;
-    let mut answer = coap::response(message, ResponseType::Content);
-    match path.as_slice() {
-        b"health" => {}
-        b"load" => answer.payload = format!("{{\"running\": {running}}}").into_bytes(),
-        _ => return None,
-    }
-    Some(answer)
-}
