--- a/src/backend.rs
+++ b/src/backend.rs
@@ -37,7 +37,7 @@
 
 pub(crate) use probe::is_probe;
 
-pub use message::{Admission, Ask, Ended, Finish, Free, Grant, HomeMessage};
+pub use message::{Admission, Ask, Ended, Finish, Free, HomeMessage};
 pub use phase::ServerPhase;
 pub use probe::Load;
 pub use slots::Holder;
@@ -231,11 +231,11 @@
         ask: &Ask,
         server: &Name,
         cx: &mut EntryContext<'_>,
-    ) -> Grant {
+    ) -> Admission {
         if cx.shared.careful && index > cx.shared.state.index {
             // A newer configuration may name another home.
             cx.count(Counter::AsksFenced);
-            return Grant::Refused { retry: IDLE_RETRY };
+            return Admission::Refused { retry: IDLE_RETRY };
         }
         let mut order: Vec<_> = self
             .roster
@@ -255,12 +255,12 @@
             }
             match home.admit(now, &cx.shared.state, holder) {
                 Ok(()) => {
-                    return Grant::Granted { server: name, to: home.announce().requests };
+                    return Admission::Granted { server: name, to: home.announce().requests };
                 }
                 Err(after) => retry = retry.min(after),
             }
         }
-        Grant::Refused { retry }
+        Admission::Refused { retry }
     }
 
     fn finish(
@@ -320,14 +320,14 @@
                 }
                 let ticket = ask.ticket;
                 let holder = Holder { vm: from.clone(), start, ticket };
-                let grant = self.grant(now, &holder, index, &ask, &server, cx);
-                let message = HomeMessage::Answer { start, ticket, grant };
+                let admission = self.grant(now, &holder, index, &ask, &server, cx);
+                let message = HomeMessage::Answer { start, ticket, admission };
                 return vec![Letter { to: from, message }];
             }
-            HomeMessage::Answer { start, ticket, grant } => {
+            HomeMessage::Answer { start, ticket, admission } => {
                 // An answer to an earlier start of this VM is for nobody.
                 if start == cx.shared.me.incarnation {
-                    return self.asker.answer(now, &from, ticket, grant, cx);
+                    return self.asker.answer(now, &from, ticket, admission, cx);
                 }
             }
             HomeMessage::Finish { start, ended } => {
--- a/src/backend/admit.rs
+++ b/src/backend/admit.rs
@@ -11,7 +11,7 @@
         Admission, Ask, Finish,
         choice::{Candidate, Choices},
         home::IDLE_RETRY,
-        message::{Ended, Grant, HomeMessage},
+        message::{Ended, HomeMessage},
         roster::home_of,
     },
     counter::Counter,
@@ -80,19 +80,19 @@
         now: Time,
         from: &Name,
         ticket: u64,
-        grant: Grant,
+        admission: Admission,
         cx: &mut EntryContext<'_>,
     ) -> Vec<Letter> {
         let waiting = self.attempts.get(&ticket);
         let is_awaited = waiting.is_some_and(|attempt| attempt.candidate.home == *from);
-        match grant {
-            Grant::Granted { server, to } if is_awaited && is_in(&server, cx.shared) => {
+        match admission {
+            Admission::Granted { server, to } if is_awaited && is_in(&server, cx.shared) => {
                 self.attempts.remove(&ticket);
                 self.contacts.insert(from.clone(), now);
                 self.granted(now, ticket, server, to, cx);
                 Vec::new()
             }
-            Grant::Granted { server, .. } => {
+            Admission::Granted { server, .. } => {
                 let held = self.held.get(&ticket);
                 if held.is_some_and(|held| held.server == server) {
                     return Vec::new();
@@ -102,12 +102,12 @@
                 let message = HomeMessage::Finish { start: cx.shared.me.incarnation, ended };
                 vec![Letter { to: from.clone(), message }]
             }
-            Grant::Refused { retry } if is_awaited => {
+            Admission::Refused { retry } if is_awaited => {
                 let service = self.attempts[&ticket].ask.service.clone();
                 self.choices.refused(now, from, &service, retry);
                 self.refused(now, ticket, retry, cx)
             }
-            Grant::Refused { .. } => Vec::new(),
+            Admission::Refused { .. } => Vec::new(),
         }
     }
 
--- a/src/backend/message.rs
+++ b/src/backend/message.rs
@@ -22,13 +22,13 @@
     pub tried: Vec<Name>,
 }
 
-/// The answer to an [`Ask`].
+/// The answer to an [`Ask`], also that of a home to another VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub enum Admission {
     /// The exchange holds a slot of this backend server until it is finished.
     Granted {
-        /// The backend server.
+        /// The backend server, which need not be the one that was asked for.
         server: Name,
         /// Where its requests go.
         to: SocketAddr,
@@ -60,24 +60,6 @@
     Cancelled,
 }
 
-/// What a home answers to an entry VM that asked for a slot.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum Grant {
-    /// The exchange holds a slot of this server.
-    Granted {
-        /// The backend server, which need not be the one that was asked for.
-        server: Name,
-        /// Where its requests go.
-        to: SocketAddr,
-    },
-    /// None of the home's servers takes the request now.
-    Refused {
-        /// Time after which to ask again.
-        retry: Duration,
-    },
-}
-
 /// Free capacity of one backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -126,7 +108,7 @@
         /// Names the exchange on that VM.
         ticket: u64,
         /// Whether it holds a slot now.
-        grant: Grant,
+        admission: Admission,
     },
     /// Admitted exchanges that ended; each is told twice, as nobody acknowledges it.
     Finish {
--- a/src/bin/galena-control.rs
+++ b/src/bin/galena-control.rs
@@ -1,28 +1,10 @@
-//! The control daemon.
+//! The control daemon: orders configuration changes and keeps them on disk.
 
-use std::path::PathBuf;
-
-use argh::FromArgs;
-use galenatrail::{ControlSettings, Settings, init_logging, run_control};
-
-/// Control daemon: orders configuration changes and keeps them on disk.
-#[derive(FromArgs)]
-struct Args {
-    /// settings file (TOML)
-    #[argh(positional)]
-    settings: PathBuf,
-    /// check the settings and exit
-    #[argh(switch)]
-    check: bool,
-}
+use galenatrail::{ControlSettings, init_logging, run_control, settings_from_args};
 
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
-    let args: Args = argh::from_env();
-    let settings = Settings::<ControlSettings>::load(&args.settings)?;
-    if args.check {
-        return Ok(());
-    }
+    let Some(settings) = settings_from_args::<ControlSettings>()? else { return Ok(()) };
     init_logging(&settings.name)?;
     run_control(settings).await?.stopped().await;
     Ok(())
--- a/src/bin/galena-entry.rs
+++ b/src/bin/galena-entry.rs
@@ -1,28 +1,10 @@
-//! The entry daemon.
+//! The entry daemon: carries packets and requests from callers to backend servers.
 
-use std::path::PathBuf;
-
-use argh::FromArgs;
-use galenatrail::{EntrySettings, Settings, init_logging, run_entry, stop_signal};
-
-/// Entry daemon: carries packets and requests from callers to backend servers.
-#[derive(FromArgs)]
-struct Args {
-    /// settings file (TOML)
-    #[argh(positional)]
-    settings: PathBuf,
-    /// check the settings and exit
-    #[argh(switch)]
-    check: bool,
-}
+use galenatrail::{EntrySettings, init_logging, run_entry, settings_from_args, stop_signal};
 
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
-    let args: Args = argh::from_env();
-    let settings = Settings::<EntrySettings>::load(&args.settings)?;
-    if args.check {
-        return Ok(());
-    }
+    let Some(settings) = settings_from_args::<EntrySettings>()? else { return Ok(()) };
     init_logging(&settings.name)?;
     run_entry(settings, stop_signal()?).await?;
     Ok(())
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The shells: tokio tasks that turn sockets, timers and files into events and actions into I/O.
 
+mod args;
 mod control;
 mod entry;
 mod forward;
@@ -17,6 +18,7 @@
 mod uplink;
 mod writer;
 
+pub use args::settings_from_args;
 pub use control::run_control;
 pub use entry::run_entry;
 pub use forward::{ForwardHandle, ForwardSettings, PacketForm, start_forwarder};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,8 +64,7 @@
 
 pub use crate::{
     backend::{
-        Admission, Ask, Ended, Finish, Free, Grant, Holder, HomeMessage, Load, ServerPhase,
-        Standing,
+        Admission, Ask, Ended, Finish, Free, Holder, HomeMessage, Load, ServerPhase, Standing,
     },
     control::{
         Change, ControlAction, ControlEvent, ControlMessage, ControlNode, ControlStatus, Disk,
@@ -82,7 +81,8 @@
     ctl::run_ctl,
     daemon::{
         ForwardHandle, ForwardSettings, PacketForm, Registrar, RegistrarSettings, init_logging,
-        init_stdout_logging, run_control, run_entry, start_forwarder, start_registrar, stop_signal,
+        init_stdout_logging, run_control, run_entry, settings_from_args, start_forwarder,
+        start_registrar, stop_signal,
     },
     entry::{EntryAction, EntryEvent, EntryNode, Router, Verdict},
     error::{Error, Result},
