--- a/benches/measures/choice.rs
+++ b/benches/measures/choice.rs
@@ -5,21 +5,24 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, VecDeque},
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
-    sync::Arc,
+    collections::{BinaryHeap, VecDeque},
+    net::{Ipv4Addr, SocketAddrV4},
     time::Duration,
 };
 
 use galenatrail::{
-    Announcement, FeedMessage, FlowVerdict, Forwarder, Head, Name, Plan, Route, ServerRecord,
-    Share, Time, Warmup, Whole,
+    Announcement, FeedMessage, FlowVerdict, Forwarder, Head, Name, ServerRecord, Time,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::table::Table;
 
+#[path = "../../tests/support/cookie.rs"]
+mod cookie;
+
+use cookie::{ROUTE, plan, source};
+
 const SLOTS: usize = 2;
 const QUEUE: usize = 8;
 /// Mean work of a request; the work is even between half and one and a half of it.
@@ -37,7 +40,6 @@
 /// A server starts anew, cold, at this time.
 const RESTART_MS: u64 = 30_000;
 const COLD: Duration = Duration::from_secs(2);
-const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 
 struct Size {
     name: &'static str,
@@ -147,7 +149,7 @@
             world.announce(0, server, Duration::ZERO, 1);
         }
         for (_, forwarder) in &mut world.entries {
-            forwarder.fed(Time::ZERO, source(), FeedMessage::Plan(plan()));
+            forwarder.fed(Time::ZERO, source(), FeedMessage::Plan(plan(1, &[])));
         }
         for caller in 0..world.callers.len() {
             let at = world.rng.random_range(0..1_000);
@@ -297,10 +299,6 @@
     format!("zone-{zone}").into()
 }
 
-fn source() -> SocketAddr {
-    "127.0.1.1:7720".parse().expect("a fixed address")
-}
-
 fn head(number: usize, port: u16, opens: bool, cookie: u32) -> Head {
     let [high, low] = (number as u16).to_be_bytes();
     Head {
@@ -312,22 +310,3 @@
         cookie,
     }
 }
-
-fn plan() -> Arc<Plan> {
-    let share = Share { service: "hub".into(), weight: 1 };
-    let route = Route {
-        addr: *ROUTE.ip(),
-        port: ROUTE.port(),
-        timeout: Duration::from_secs(1),
-        shares: vec![share],
-    };
-    let warmup = Warmup { time: COLD, rate: 0 };
-    let whole = Whole {
-        number: 1,
-        idle: Duration::from_secs(15),
-        routes: vec![route],
-        services: BTreeMap::from([("hub".into(), warmup)]),
-        source: Arc::default(),
-    };
-    Arc::new(Plan { index: 1, whole: Arc::new(whole), ..Plan::default() })
-}
