Judge an entry VM's readiness when its wait ends, and wait 300 ms

The wait for a quorum was 600 ms, but readiness was judged only when a control VM gave a sign of life, once a second. Change: readiness is code of its own (src/cookie/readiness.rs) and is judged with every message and when the wait ends. The wait is one try to connect and the next, 300 ms. A VM must still have been told everything by some control VM; it starts outside of what has a time bound, and an election takes 1.5 s or more. Result: tests/entry_readiness.rs (without_a_quorum_a_vm_is_ready_before_the_next_sign_of_life asks for what the log showed missing).

--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{SocketAddr, SocketAddrV4},
+    pin::pin,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -19,7 +20,7 @@
     subscribe::{Fed, Feeds, Known},
 };
 use crate::{
-    cookie::{DropReason, FeedMessage, FlowVerdict, Forwarder, Head, ResetReason},
+    cookie::{DropReason, FeedMessage, FlowVerdict, Forwarder, Head, Readiness, ResetReason},
     counter::{Counter, Counters},
     error::{Error, Result},
     name::Name,
@@ -34,11 +35,6 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Time between two wake-ups after which packets may have waited for long: twice a tick.
 const STILL: Duration = Duration::from_millis(500);
-/// Time after which a VM that reaches no control VM with a quorum serves what it has: one has
-/// answered by then where any can be reached.
-const UNCONFIRMED: Duration = Duration::from_millis(600);
-/// Age of the registry from which on it names nearly every server, in periods of announcements.
-const COMPLETE: f64 = 1.5;
 /// Lines on single packets between two ticks at most: 40 a second take less than a thousandth of
 /// a small core.
 const LINES: u32 = 10;
@@ -143,10 +139,9 @@
         form,
         socket: Arc::new(socket),
         port: settings.packets.port(),
-        period: settings.period,
+        readiness: Readiness::new(now, settings.period),
         ready,
         index,
-        started: now,
         woken: now,
         reported: now,
         counters: Counters::new(),
@@ -171,10 +166,9 @@
     socket: Arc<UdpSocket>,
     /// Port at which callers take packets.
     port: u16,
-    period: Duration,
+    readiness: Readiness,
     ready: watch::Sender<bool>,
     index: watch::Sender<u64>,
-    started: Time,
     woken: Time,
     reported: Time,
     counters: Counters,
@@ -191,6 +185,7 @@
         let mut buf = vec![0; PACKET_LEN];
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut waited = pin!(sleep(self.readiness.due().since(now())));
         loop {
             let result = tokio::select! {
                 readable = self.socket.readable() => readable.and_then(|()| self.drain(&mut buf)),
@@ -201,6 +196,10 @@
                     }
                     None => return,
                 },
+                () = &mut waited, if !waited.is_elapsed() => {
+                    self.judge();
+                    Ok(())
+                }
                 // What has waited while the VM stood still is found here, if not before.
                 _ = ticks.tick() => self.drain(&mut buf).map(|()| self.tick()),
             };
@@ -288,9 +287,10 @@
         match fed {
             Fed::Message(source, message) => {
                 if let FeedMessage::Beat { fresh, age, .. } = &message {
-                    self.judge(now, *fresh, *age);
+                    self.readiness.told(*fresh, *age);
                 }
                 self.forwarder.fed(now, source, message);
+                self.judge();
                 let index = self.forwarder.plan().index;
                 if self.index.send_if_modified(|held| std::mem::replace(held, index) != index) {
                     self.planned = now;
@@ -302,18 +302,14 @@
         }
     }
 
-    /// Decides whether the VM knows enough to take packets; once it does, it stays so.
-    fn judge(&mut self, now: Time, fresh: bool, age: Duration) {
-        let waited = now.since(self.started) >= UNCONFIRMED;
-        let known = self.forwarder.plan().index > 0 && !self.forwarder.directory().is_empty();
-        let complete = age >= self.period.mul_f64(COMPLETE);
-        if known && (waited || (fresh && complete)) && !*self.ready.borrow() {
+    /// Lets the VM take packets once it knows enough.
+    fn judge(&mut self) {
+        let servers = self.forwarder.directory().len();
+        let index = self.forwarder.plan().index;
+        if self.readiness.judge(now(), index > 0 && servers > 0) {
             self.ready.send_replace(true);
-            log::info!(
-                "event=ready fresh={fresh} registry_age_ms={} servers={}",
-                age.as_millis(),
-                self.forwarder.directory().len()
-            );
+            let confirmed = self.readiness.is_confirmed();
+            log::info!("event=ready plan={index} servers={servers} confirmed={confirmed}");
         }
     }
 
