Put readiness back: an earlier one serves nobody better

The reason: where fewer than half of a zone's entry VMs are in rotation, the routers send to all of them, so that after a loss of all power packets come whether a VM is ready or not; where one VM starts alone, a control VM with a quorum makes it ready within 0.1 s.

--- a/src/cookie.rs
+++ b/src/cookie.rs
@@ -12,7 +12,6 @@
 mod forwarder;
 mod news;
 mod notes;
-mod readiness;
 mod record;
 mod registry;
 
@@ -22,6 +21,5 @@
 pub use feed::{ControlSeat, FeedMessage, Gossip, Kept, Plan};
 pub use forwarder::{DropReason, FlowVerdict, Forwarder, Head, ResetReason};
 pub use news::News;
-pub use readiness::Readiness;
 pub use record::{Announcement, ServerRecord, ServerState, tag};
 pub use registry::{Heard, Registry};
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -2,7 +2,6 @@
 
 use std::{
     net::{SocketAddr, SocketAddrV4},
-    pin::pin,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -20,7 +19,7 @@
     subscribe::{Fed, Feeds, Known},
 };
 use crate::{
-    cookie::{DropReason, FeedMessage, FlowVerdict, Forwarder, Head, Readiness, ResetReason},
+    cookie::{DropReason, FeedMessage, FlowVerdict, Forwarder, Head, ResetReason},
     counter::{Counter, Counters},
     error::{Error, Result},
     name::Name,
@@ -35,6 +34,11 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Time between two wake-ups after which packets may have waited for long: twice a tick.
 const STILL: Duration = Duration::from_millis(500);
+/// Time after which a VM that reaches no control VM with a quorum serves what it has: one has
+/// answered by then where any can be reached.
+const UNCONFIRMED: Duration = Duration::from_millis(600);
+/// Age of the registry from which on it names nearly every server, in periods of announcements.
+const COMPLETE: f64 = 1.5;
 /// Lines on single packets between two ticks at most: 40 a second take less than a thousandth of
 /// a small core.
 const LINES: u32 = 10;
@@ -139,9 +143,10 @@
         form,
         socket: Arc::new(socket),
         port: settings.packets.port(),
-        readiness: Readiness::new(now, settings.period),
+        period: settings.period,
         ready,
         index,
+        started: now,
         woken: now,
         reported: now,
         counters: Counters::new(),
@@ -166,9 +171,10 @@
     socket: Arc<UdpSocket>,
     /// Port at which callers take packets.
     port: u16,
-    readiness: Readiness,
+    period: Duration,
     ready: watch::Sender<bool>,
     index: watch::Sender<u64>,
+    started: Time,
     woken: Time,
     reported: Time,
     counters: Counters,
@@ -185,7 +191,6 @@
         let mut buf = vec![0; PACKET_LEN];
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut waited = pin!(sleep(self.readiness.due().since(now())));
         loop {
             let result = tokio::select! {
                 readable = self.socket.readable() => readable.and_then(|()| self.drain(&mut buf)),
@@ -196,10 +201,6 @@
                     }
                     None => return,
                 },
-                () = &mut waited, if !waited.is_elapsed() => {
-                    self.judge();
-                    Ok(())
-                }
                 // What has waited while the VM stood still is found here, if not before.
                 _ = ticks.tick() => self.drain(&mut buf).map(|()| self.tick()),
             };
@@ -287,10 +288,9 @@
         match fed {
             Fed::Message(source, message) => {
                 if let FeedMessage::Beat { fresh, age, .. } = &message {
-                    self.readiness.told(*fresh, *age);
+                    self.judge(now, *fresh, *age);
                 }
                 self.forwarder.fed(now, source, message);
-                self.judge();
                 let index = self.forwarder.plan().index;
                 if self.index.send_if_modified(|held| std::mem::replace(held, index) != index) {
                     self.planned = now;
@@ -302,14 +302,18 @@
         }
     }
 
-    /// Lets the VM take packets once it knows enough.
-    fn judge(&mut self) {
-        let servers = self.forwarder.directory().len();
-        let index = self.forwarder.plan().index;
-        if self.readiness.judge(now(), index > 0 && servers > 0) {
+    /// Decides whether the VM knows enough to take packets; once it does, it stays so.
+    fn judge(&mut self, now: Time, fresh: bool, age: Duration) {
+        let waited = now.since(self.started) >= UNCONFIRMED;
+        let known = self.forwarder.plan().index > 0 && !self.forwarder.directory().is_empty();
+        let complete = age >= self.period.mul_f64(COMPLETE);
+        if known && (waited || (fresh && complete)) && !*self.ready.borrow() {
             self.ready.send_replace(true);
-            let confirmed = self.readiness.is_confirmed();
-            log::info!("event=ready plan={index} servers={servers} confirmed={confirmed}");
+            log::info!(
+                "event=ready fresh={fresh} registry_age_ms={} servers={}",
+                age.as_millis(),
+                self.forwarder.directory().len()
+            );
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,8 +74,8 @@
     },
     cookie::{
         Announcement, Candidate, ControlSeat, Directory, DropReason, Explanation, FeedMessage,
-        FlowVerdict, Forwarder, Gossip, Head, Heard, Kept, News, Plan, Readiness, Registry,
-        ResetReason, ServerRecord, ServerState, Usable, Weighed, choose, tag,
+        FlowVerdict, Forwarder, Gossip, Head, Heard, Kept, News, Plan, Registry, ResetReason,
+        ServerRecord, ServerState, Usable, Weighed, choose, tag,
     },
     counter::{Counter, Counters},
     ctl::run_ctl,
