Let a VM that joins ask again where it is not known yet

A VM that joins asked the owner of a bucket for records before the owner's view had that VM: for a VM that is not in the view no shard counts as one that it would own, so nothing was queued, the question counted as answered, and the VM became ready without 15 s old records. The next loss, that of the owner, broke 3 flows. Ruled out: records still on their way (none was ever queued for it). Change: an owner ignores the question of a VM outside its view; it comes again with the next round.

--- a/src/flow/handover.rs
+++ b/src/flow/handover.rs
@@ -155,8 +155,10 @@
     }
 
     /// Answers a VM that joins: queues the records of the shards that it would own.
+    ///
+    /// One that this VM does not know yet asks again: which shards it would own cannot be told.
     pub(super) fn pulled(&mut self, from: &Name) {
-        if self.outbox.join(from) {
+        if !self.ownership.view().members.contains_key(from) || self.outbox.join(from) {
             return;
         }
         let shards: Vec<_> = self.records.shards().cloned().collect();
