--- a/src/backend/ramp.rs
+++ b/src/backend/ramp.rs
@@ -92,8 +92,8 @@
 
     /// Takes a load report of a server whose work cannot be seen by the entry VMs.
     ///
-    /// Reports that repeat a number are ignored. The ramp grows only on a report that was measured
-    /// [`HOLD`] or [`IDLE_HOLD`] after the step began.
+    /// Repeated and late reports change nothing. A step lasts for [`HOLD`], or [`IDLE_HOLD`] without
+    /// new connections, up to the time of measurement.
     pub(crate) fn load(&mut self, now: Time, load: &Load, cap: usize) {
         if self.sequence.is_some_and(|last| load.seq <= last) {
             return;
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ControlNode, replica::Identity};
+use super::{ControlAction, ControlEvent, ControlNode, replica::Identity};
 use crate::{name::Name, time::Time};
 
 /// What a replica does.
@@ -95,8 +95,21 @@
         }
     }
 
-    /// Returns a line that changes when this VM's part in the log does.
-    pub(crate) fn status_line(&self) -> String {
+    /// Handles one event; returns what the shell has to do, and a line where this VM's part in the
+    /// log has changed.
+    pub(crate) fn step(
+        &mut self,
+        now: Time,
+        event: ControlEvent,
+    ) -> (Vec<ControlAction>, Option<String>) {
+        let before = self.status_line();
+        let mut out = Vec::new();
+        self.handle(now, event, &mut out);
+        let after = self.status_line();
+        (out, (before != after).then_some(after))
+    }
+
+    fn status_line(&self) -> String {
         let leader = self.leader().map_or("no leader", |seat| &seat.name);
         let role = match self.role() {
             Role::Leader => "leader",
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -92,21 +92,16 @@
 
 async fn run(args: Args) -> Result<()> {
     let Args { control, token, json, action } = args;
-    if let Action::Token(token) = action {
-        return token.run(json);
-    }
-    if let Action::Cookies(cookies) = action {
-        return cookies.run(&control, json).await;
-    }
-    let caller = Caller::new(control, token)?;
+    let caller = || Caller::new(control.clone(), token.clone());
     match action {
-        Action::Get(get) => get.run(&caller, json).await,
-        Action::Plan(plan) => plan.run(&caller, json).await,
-        Action::Apply(apply) => apply.run(&caller, json).await,
-        Action::History(history) => history.run(&caller, json).await,
-        Action::Zone(zone) => zone.run(&caller, json).await,
-        Action::Drain(drain) => drain.run(&caller, json).await,
-        Action::Status(status) => status.run(&caller, json).await,
-        Action::Token(_) | Action::Cookies(_) => Ok(()),
+        Action::Get(get) => get.run(&caller()?, json).await,
+        Action::Plan(plan) => plan.run(&caller()?, json).await,
+        Action::Apply(apply) => apply.run(&caller()?, json).await,
+        Action::History(history) => history.run(&caller()?, json).await,
+        Action::Zone(zone) => zone.run(&caller()?, json).await,
+        Action::Drain(drain) => drain.run(&caller()?, json).await,
+        Action::Status(status) => status.run(&caller()?, json).await,
+        Action::Cookies(cookies) => cookies.run(&control, json).await,
+        Action::Token(token) => token.run(json),
     }
 }
--- a/src/ctl/cookies.rs
+++ b/src/ctl/cookies.rs
@@ -21,8 +21,8 @@
     time::Time,
 };
 
-/// Time between two announcements of a server that a fresh forwarder supposes; it bears on feeds
-/// that go on, of which only the first messages are taken here.
+/// Time between two announcements of a server. Any will do: the forwarder is asked once, when
+/// every server has been named.
 const PERIOD: Duration = Duration::from_secs(1);
 
 /// Look at the feed of a control VM on the cookie path; --control names its link address.
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -296,14 +296,11 @@
 
     fn handle(&mut self, event: ControlEvent) -> Vec<ControlAction> {
         self.epoch += u64::from(matches!(event, ControlEvent::Recovered(_)));
-        let before = self.node.status_line();
-        let mut out = Vec::new();
-        self.node.handle(self.now(), event, &mut out);
-        let after = self.node.status_line();
-        if before != after {
-            log::info!("{after}");
+        let (actions, changed) = self.node.step(self.now(), event);
+        if let Some(state) = changed {
+            log::info!("{state}");
         }
-        out
+        actions
     }
 
     fn act(&mut self, action: ControlAction) {
--- a/src/daemon/logging/lines.rs
+++ b/src/daemon/logging/lines.rs
@@ -35,19 +35,13 @@
     /// written comes after one with the count.
     pub(super) fn write(&self, line: &fmt::Arguments<'_>) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        if !state.is_writable() {
-            state.lost += 1;
-            return;
+        let lost = state.lost;
+        if lost > 0 && state.put(&format_args!("event=lines_lost count={lost}")) {
+            state.lost = 0;
         }
-        let lost = std::mem::take(&mut state.lost);
-        if lost > 0 {
-            state.put(&format_args!("event=lines_lost count={lost}"));
-            if !state.is_writable() {
-                state.lost += 1;
-                return;
-            }
+        if state.lost > 0 || !state.put(line) {
+            state.lost += 1;
         }
-        state.put(line);
     }
 }
 
@@ -58,13 +52,16 @@
         ready && fds[0].revents().is_some_and(|seen| seen.contains(PollFlags::POLLOUT))
     }
 
-    fn put(&mut self, line: &fmt::Arguments<'_>) {
+    /// Returns whether the line was written.
+    fn put(&mut self, line: &fmt::Arguments<'_>) -> bool {
+        if !self.is_writable() {
+            return false;
+        }
         self.line.clear();
         // A string takes whatever is written to it.
         _ = self.line.write_fmt(*line);
         self.line.truncate(self.line.floor_char_boundary(LINE_LEN - 1));
         self.line.push('\n');
-        // There is nowhere else to say that the log cannot be written.
-        _ = self.out.write_all(self.line.as_bytes()).and_then(|()| self.out.flush());
+        self.out.write_all(self.line.as_bytes()).and_then(|()| self.out.flush()).is_ok()
     }
 }
--- a/src/daemon/registrar/shell.rs
+++ b/src/daemon/registrar/shell.rs
@@ -275,14 +275,11 @@
 
     pub(super) fn event(&mut self, event: ControlEvent) {
         self.epoch += u64::from(matches!(event, ControlEvent::Recovered(_)));
-        let before = self.node.status_line();
-        let mut out = Vec::new();
-        self.node.handle(self.now(), event, &mut out);
-        let after = self.node.status_line();
-        if before != after {
-            log::info!("event=log state={after:?}");
+        let (actions, changed) = self.node.step(self.now(), event);
+        if let Some(state) = changed {
+            log::info!("event=log state={state:?}");
         }
-        for action in out {
+        for action in actions {
             self.act(action);
         }
     }
