--- a/tests/flow_random.rs
+++ b/tests/flow_random.rs
@@ -72,11 +72,7 @@
             world.hold(&vm);
         }
         Change::Release => world.release(),
-        Change::Kill if world.fabric.len() > 5 => {
-            let vm = world.busiest();
-            world.kill(&vm);
-            world.run(Duration::from_secs(4), 20);
-        }
+        Change::Kill if world.fabric.len() > 5 => world.kill_busiest(),
         Change::Leave(number) if world.fabric.len() > 5 => {
             let vm = vm(world, number);
             world.leave(&vm);
--- a/tests/joined_early.rs
+++ b/tests/joined_early.rs
@@ -20,13 +20,6 @@
     world.check();
 }
 
-/// Ends the VM that has the most records; others that are lost later are lost apart from it.
-fn kill_busiest(world: &mut World) {
-    let vm = world.busiest();
-    world.kill(&vm);
-    world.run(Duration::from_secs(4), 20);
-}
-
 /// The case that random orders found, step by step.
 #[test]
 fn flows_outlive_the_owner_that_a_joiner_has_asked_too_early() {
@@ -45,7 +38,7 @@
     run(&mut world, 3_626);
     world.open(SERVICE, 149);
     run(&mut world, 3_911);
-    kill_busiest(&mut world);
+    world.kill_busiest();
     run(&mut world, 235);
     run(&mut world, 2_806);
     run(&mut world, 3_824);
@@ -57,6 +50,6 @@
     run(&mut world, 227);
     world.join("joiner-2", ZONES[2]);
     run(&mut world, 3_479);
-    kill_busiest(&mut world);
+    world.kill_busiest();
     run(&mut world, 2_087);
 }
--- a/tests/spread_random.rs
+++ b/tests/spread_random.rs
@@ -134,16 +134,10 @@
     }
 
     fn check(&mut self) {
-        let now = self.mesh.now();
-        let floor = self.mesh.acks.floor(now);
+        vm::check_progress(&self.mesh, &mut self.seen);
         for (name, node) in &self.mesh.nodes {
             let index = node.state().index;
-            let start = node.me().incarnation;
-            let (last, before) = self.seen.insert(name.clone(), (start, index)).unwrap_or_default();
-            assert!(last != start || index >= before, "{name} went back from {before} to {index}");
             assert_eq!(*node.state(), self.states[index as usize], "{name} at {index}");
-            let behind = floor.is_some_and(|floor| index < floor);
-            assert!(!behind || node.is_careful(now), "{name} relies on {index}, floor {floor:?}");
             assert!(node.view().members.contains_key(name), "{name} is not in its own view");
         }
     }
--- a/tests/spread_scenarios.rs
+++ b/tests/spread_scenarios.rs
@@ -169,17 +169,11 @@
     /// No VM goes back, each has the state of a prefix of the log, and each VM below the floor is
     /// careful.
     fn check(&mut self) {
-        let now = self.mesh.now();
-        let floor = self.mesh.acks.floor(now);
+        vm::check_progress(&self.mesh, &mut self.seen);
         for (name, node) in &self.mesh.nodes {
             let index = node.state().index;
-            let start = node.me().incarnation;
-            let (last, before) = self.seen.insert(name.clone(), (start, index)).unwrap_or_default();
-            assert!(last != start || index >= before, "{name} went back from {before} to {index}");
             let damaged = node.state().zones_out.contains_key("damaged");
             assert!(damaged || *node.state() == self.states[index as usize], "{name} at {index}");
-            let behind = floor.is_some_and(|floor| index < floor);
-            assert!(!behind || node.is_careful(now), "{name} relies on {index}, floor {floor:?}");
         }
     }
 }
--- a/tests/support/flow_world.rs
+++ b/tests/support/flow_world.rs
@@ -423,7 +423,14 @@
         most as f64 * shares.len() as f64 / 1024.0
     }
 
-    /// Returns the owner of the most moving buckets of `service` in the eyes of `vm`'s peers.
+    /// Ends the VM that has recorded the most flows, and lets the others notice.
+    pub(crate) fn kill_busiest(&mut self) {
+        let vm = self.busiest();
+        self.kill(&vm);
+        self.run(Duration::from_secs(4), 20);
+    }
+
+    /// Returns the VM that has recorded the most flows.
     pub(crate) fn busiest(&self) -> String {
         let recorded = |vm: &&String| {
             let node = self.mesh.nodes.get(vm.as_str());
