--- a/benches/measures/choice.rs
+++ b/benches/measures/choice.rs
@@ -317,6 +317,8 @@
         caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, high, low), 10_000 + port),
         route: ROUTE,
         opens,
+        sequence: 0,
+        acknowledged: 0,
         retransmits: 0,
         closes: false,
         cookie,
--- a/benches/speed.rs
+++ b/benches/speed.rs
@@ -16,9 +16,9 @@
 };
 
 use galenatrail::{
-    Announcement, EntryAction, EntrySettings, ForwarderSettings, PacketCodec, PacketInfo,
-    RegistrarSettings, Route, RoutingConfig, Settings, Share, Time, Warmup, packet, run_entry,
-    server_cookie,
+    Announcement, EntryAction, EntrySettings, FlowReset, ForwarderSettings, PacketCodec,
+    PacketInfo, RegistrarSettings, Route, RoutingConfig, Settings, Share, Time, Warmup, packet,
+    run_entry, server_cookie,
     standin::{loopback, tcp_packet},
     start_forwarder, start_registrar,
 };
@@ -177,6 +177,8 @@
             caller,
             route: ROUTE_ADDR,
             opens,
+            sequence: 0,
+            acknowledged: 0,
             retransmits,
             closes,
             cookie: server_cookie(SERVER_ID),
@@ -189,7 +191,7 @@
         out.extend(packet);
     }
 
-    fn write_reset(&self, _: &[u8], _: &mut Vec<u8>) {}
+    fn write_reset(&self, _: &FlowReset, _: &mut Vec<u8>) {}
 }
 
 fn run_cookie_forwarder(addr: SocketAddr, stop: oneshot::Receiver<()>) {
@@ -229,6 +231,7 @@
             name: "entry-1".into(),
             zone: "a".into(),
             packets: addr,
+            listen: SocketAddr::new(addr.ip(), 0),
             seeds: vec![listen],
             announce_interval: LONG_INTERVAL,
             metrics: None,
--- a/src/cookie.rs
+++ b/src/cookie.rs
@@ -7,10 +7,13 @@
 
 mod balance;
 mod directory;
+mod entry_vms;
 mod explain;
 mod feed;
+mod feed_targets;
 mod flow_table;
 mod forwarder;
+mod held_packets;
 mod passive_health;
 mod record;
 mod registry;
@@ -18,9 +21,12 @@
 
 pub use balance::{Candidate, choose_server};
 pub use directory::{Eligibility, ServerDirectory};
+pub use entry_vms::EntryVms;
 pub use explain::{Explanation, ServerAssessment};
 pub use feed::{ControlLocation, FeedCache, FeedMessage, ForwardingPlan, Gossip};
-pub use forwarder::{DropReason, FlowVerdict, Forwarder, PacketInfo, ResetReason};
+pub use feed_targets::FeedTargets;
+pub use forwarder::{DropReason, FlowReset, FlowVerdict, Forwarder, PacketInfo, ResetReason};
+pub use held_packets::{HeldPacket, HeldPackets};
 pub use record::{Announcement, ServerRecord, ServerState, server_cookie};
 pub use registry::{ServerRegistry, UpdateOutcome};
 pub use update_batcher::UpdateBatcher;
--- a/src/cookie/directory.rs
+++ b/src/cookie/directory.rs
@@ -2,14 +2,14 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    net::{SocketAddr, SocketAddrV4},
     time::Duration,
 };
 
 use serde::Serialize;
 
 use crate::{
-    cookie::record::{ServerRecord, ServerState, server_cookie},
+    cookie::record::{Announcement, ServerRecord, ServerState, server_cookie},
     name::Name,
     time::Time,
 };
@@ -66,6 +66,10 @@
     /// Number of the server that holds each cookie.
     cookies: BTreeMap<u32, u64>,
     by_service: BTreeMap<Name, BTreeSet<u64>>,
+    /// Incarnation and number of the server that started last at each address.
+    by_address: BTreeMap<SocketAddrV4, (u64, u64)>,
+    /// Cookies of servers that were found to be superseded.
+    superseded: BTreeSet<u32>,
     /// Control VMs by the address of their feed.
     sources: BTreeMap<SocketAddr, FeedSource>,
 }
@@ -78,6 +82,8 @@
             servers: BTreeMap::new(),
             cookies: BTreeMap::new(),
             by_service: BTreeMap::new(),
+            by_address: BTreeMap::new(),
+            superseded: BTreeSet::new(),
             sources: BTreeMap::new(),
         }
     }
@@ -142,12 +148,32 @@
             let service = known.record.announcement.service.clone();
             self.by_service.entry(service).or_default().remove(&id);
         }
+        self.record_address(&record);
         let cold_until = now + record.announcement.warmup_left;
         self.by_service.entry(record.announcement.service.clone()).or_default().insert(id);
         self.claim_cookie(id, record.announcement.incarnation);
         self.servers.insert(id, Server { record, cold_until, updated: now });
     }
 
+    /// Records which server started last at the address of `record`. Of two servers that have had
+    /// an address, the one that started first has ended.
+    fn record_address(&mut self, record: &ServerRecord) {
+        let Announcement { addr, incarnation, id, .. } = record.announcement;
+        let latest = self.by_address.entry(addr).or_insert((incarnation, id));
+        let (first, last) = ((*latest).min((incarnation, id)), (*latest).max((incarnation, id)));
+        *latest = last;
+        let cookie = server_cookie(first.1);
+        let holds = self.cookies.get(&cookie) == Some(&first.1);
+        if first.0 < last.0 && first.1 != last.1 && holds {
+            self.superseded.insert(cookie);
+        }
+    }
+
+    /// Takes the cookies of the servers that were found to be superseded since the last call.
+    pub(super) fn take_superseded(&mut self) -> BTreeSet<u32> {
+        std::mem::take(&mut self.superseded)
+    }
+
     /// Assigns the cookie of `id` to the server that started first among those that share it.
     ///
     /// Every entry VM makes the same decision; the other servers receive no traffic.
@@ -224,6 +250,7 @@
         for id in ended {
             let Some(server) = self.servers.remove(&id) else { continue };
             self.cookies.retain(|_, holder| *holder != id);
+            self.by_address.retain(|_, (_, latest)| *latest != id);
             if let Some(ids) = self.by_service.get_mut(&server.record.announcement.service) {
                 ids.remove(&id);
             }
--- a/src/cookie/feed.rs
+++ b/src/cookie/feed.rs
@@ -72,6 +72,11 @@
         /// The records.
         records: Vec<ServerRecord>,
     },
+    /// Every known control VM, the sender included; the first message to a new subscriber, which may
+    /// then prefer another control VM before it receives all records.
+    ControlVms(Vec<ControlLocation>),
+    /// The new subscriber has received the record of every server in its availability zone.
+    ZoneSent,
 }
 
 /// A copy on a control VM's disk of what entry VMs need, so that they are served soon after an
@@ -85,4 +90,6 @@
     pub plan: Option<Arc<ForwardingPlan>>,
     /// The servers that were registered.
     pub records: Vec<ServerRecord>,
+    /// Addresses of the entry VMs that had a feed.
+    pub entry_vms: Vec<SocketAddr>,
 }
--- a/src/cookie/flow_table.rs
+++ b/src/cookie/flow_table.rs
@@ -4,13 +4,21 @@
 //! keeps a flow at its server when a repeated opening has brought the caller a second server's
 //! cookie.
 
-use std::{collections::BTreeMap, net::SocketAddrV4, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+    time::Duration,
+};
 
 use crate::time::Time;
 
 /// Limit on tracked flows; an entry takes about 100 bytes.
 const MAX_FLOWS: usize = 16_384;
 
+/// Distance of sequence numbers, in bytes, from which on two packets belong to different flows: more
+/// than a caller sends between two packets that reach the same VM.
+const SEQUENCE_WINDOW: u32 = 1 << 24;
+
 /// Both ends of a flow: the caller and the route.
 pub(crate) type Endpoints = (SocketAddrV4, SocketAddrV4);
 
@@ -23,6 +31,10 @@
     pub(crate) established: bool,
     /// Whether the caller has ended the flow.
     pub(crate) closed: bool,
+    /// Sequence number of the caller's last packet.
+    pub(crate) sequence: u32,
+    /// Sequence number up to which the caller has received the server's data.
+    pub(crate) acknowledged: u32,
     /// When its last packet arrived.
     pub(crate) last_seen: Time,
 }
@@ -36,8 +48,20 @@
 }
 
 impl FlowTable {
-    pub(crate) fn get(&self, endpoints: &Endpoints) -> Option<FlowEntry> {
-        self.flows.get(endpoints).copied()
+    /// Returns the flow to which a packet with the sequence number `sequence` belongs.
+    ///
+    /// An entry may be that of an earlier flow of the same port, which ended at another VM or has late
+    /// packets under way. Flows start at random sequence numbers.
+    pub(crate) fn get(&self, endpoints: &Endpoints, sequence: u32) -> Option<FlowEntry> {
+        let near = |entry: &FlowEntry| {
+            (entry.sequence.wrapping_sub(sequence) as i32).unsigned_abs() < SEQUENCE_WINDOW
+        };
+        self.flows.get(endpoints).copied().filter(near)
+    }
+
+    /// Returns whether the last flow of a port is only being opened.
+    pub(crate) fn is_opening(&self, endpoints: &Endpoints) -> bool {
+        self.flows.get(endpoints).is_some_and(|entry| !entry.established)
     }
 
     /// Returns the number of open flows to the server that holds `cookie`.
@@ -72,6 +96,22 @@
         }
     }
 
+    /// Removes the established flows of the servers that hold `cookies`, and returns those that are
+    /// open.
+    pub(crate) fn remove_established(
+        &mut self,
+        cookies: &BTreeSet<u32>,
+    ) -> Vec<(Endpoints, FlowEntry)> {
+        let ended = |entry: &FlowEntry| entry.established && cookies.contains(&entry.cookie);
+        let removed = self.flows.extract_if(.., |_, entry| ended(entry));
+        let mut removed: Vec<_> = removed.collect();
+        for (_, entry) in &removed {
+            self.adjust_open(*entry, false);
+        }
+        removed.retain(|(_, entry)| !entry.closed);
+        removed
+    }
+
     /// Removes flows without a packet for `idle`.
     pub(crate) fn expire(&mut self, now: Time, idle: Duration) {
         let expired = self.flows.extract_if(.., |_, entry| now.since(entry.last_seen) >= idle);
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -38,6 +38,10 @@
     pub route: SocketAddrV4,
     /// Whether the packet opens a flow.
     pub opens: bool,
+    /// Sequence number of the packet, the same in its copies.
+    pub sequence: u32,
+    /// Sequence number up to which the caller has received the server's data; 0 in an opening.
+    pub acknowledged: u32,
     /// How many times the opening was sent before.
     pub retransmits: u32,
     /// Whether the caller ends the flow with it.
@@ -47,6 +51,11 @@
 }
 
 impl PacketInfo {
+    /// Returns the reset that answers the packet.
+    pub fn reset(&self) -> FlowReset {
+        FlowReset { caller: self.caller, route: self.route, sequence: self.acknowledged }
+    }
+
     /// Returns a hash of the flow, the same on every VM.
     pub fn flow_hash(&self) -> u64 {
         flow_hash(&(self.caller, self.route))
@@ -95,6 +104,17 @@
     Drop(DropReason),
 }
 
+/// A flow to reset although no packet of it has arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FlowReset {
+    /// Address and port of the caller.
+    pub caller: SocketAddrV4,
+    /// Address and port of the route.
+    pub route: SocketAddrV4,
+    /// Sequence number that the caller expects next.
+    pub sequence: u32,
+}
+
 /// The packet path of an entry VM that forwards by flow cookies.
 pub struct Forwarder {
     zone: Name,
@@ -103,9 +123,14 @@
     directory: ServerDirectory,
     health: PassiveHealth,
     flows: FlowTable,
+    resets: Vec<FlowReset>,
     /// Time between two announcements of a server.
     period: Duration,
     started: Time,
+    /// Whether a control VM has sent all of its server records.
+    all_sent: bool,
+    /// Whether a control VM has sent its server records of this availability zone.
+    zone_sent: bool,
     last_sweep: Time,
 }
 
@@ -120,8 +145,11 @@
             directory: ServerDirectory::new(period),
             health: PassiveHealth::default(),
             flows: FlowTable::default(),
+            resets: Vec::new(),
             period,
             started: now,
+            all_sent: false,
+            zone_sent: false,
             last_sweep: now,
         }
     }
@@ -146,12 +174,40 @@
         match message {
             FeedMessage::Heartbeat { registry_age, .. } => {
                 self.directory.set_registry_age(source, registry_age);
+                self.all_sent = true;
             }
             FeedMessage::Plan(plan) => self.apply_plan(now, plan),
             FeedMessage::Servers { all, records } => {
                 self.directory.apply_records(now, source, all, records);
+                self.reset_superseded();
             }
+            FeedMessage::ControlVms(_) => {}
+            FeedMessage::ZoneSent => self.zone_sent = true,
+        }
+    }
+
+    /// Resets the flows of servers that have ended for certain, as another server has started at
+    /// their address.
+    ///
+    /// An idle caller then opens a new flow for its next request, which it would otherwise send to
+    /// nobody. A server that is silent or says that it leaves may still be at work, and keeps its
+    /// flows.
+    fn reset_superseded(&mut self) {
+        let cookies = self.directory.take_superseded();
+        if cookies.is_empty() {
+            return;
         }
+        let flows = self.flows.remove_established(&cookies);
+        self.resets.extend(flows.into_iter().map(|((caller, route), entry)| FlowReset {
+            caller,
+            route,
+            sequence: entry.acknowledged,
+        }));
+    }
+
+    /// Takes the flows that have to be reset.
+    pub fn take_resets(&mut self) -> Vec<FlowReset> {
+        std::mem::take(&mut self.resets)
     }
 
     /// Removes a control VM that is unreachable.
@@ -176,6 +232,34 @@
         self.plan = plan;
     }
 
+    /// Returns whether this VM has just started and learns what it needs to forward a packet, so
+    /// that the packet should wait.
+    ///
+    /// An opening waits until the records of all servers are there, or of those in this availability
+    /// zone if one of them can take it: placed earlier, it and those of all other VMs would go to the
+    /// few servers that come first.
+    pub fn awaits_feed(&self, now: Time, packet: &PacketInfo) -> bool {
+        if now.since(self.started) >= STARTUP_GRACE {
+            return false;
+        }
+        if self.plan.index == 0 || self.directory.is_empty() {
+            return true;
+        }
+        match packet.opens {
+            true => !(self.all_sent || self.zone_sent && self.has_local(now, packet)),
+            false => self.directory.by_cookie(packet.cookie).is_none(),
+        }
+    }
+
+    /// Returns whether the service that an opening selects has an eligible server in this VM's
+    /// availability zone.
+    fn has_local(&self, now: Time, packet: &PacketInfo) -> bool {
+        let endpoints = (packet.caller, packet.route);
+        let selected = self.select_server(now, &endpoints, None);
+        let selected = selected.and_then(|id| self.directory.by_cookie(server_cookie(id)));
+        selected.is_some_and(|record| record.announcement.zone == self.zone)
+    }
+
     /// Decides on a packet; `stale` is set if it may have waited while the VM was suspended.
     pub fn decide(&mut self, now: Time, packet: &PacketInfo, stale: bool) -> FlowVerdict {
         if self.plan.index == 0 {
@@ -194,7 +278,8 @@
         if !self.routes.contains_key(&packet.route) {
             return FlowVerdict::Reset(ResetReason::NoRoute);
         }
-        let first = self.flows.get(&endpoints).filter(|_| packet.retransmits > 0);
+        let first = self.flows.get(&endpoints, packet.sequence);
+        let first = first.filter(|_| packet.retransmits > 0);
         if let Some(verdict) = first.and_then(|entry| self.decide_repeated(now, endpoints, entry)) {
             return verdict;
         }
@@ -203,7 +288,14 @@
             return self.decide_unserved(now, &endpoints);
         };
         let cookie = server_cookie(id);
-        let entry = FlowEntry { cookie, established: false, closed: false, last_seen: now };
+        let entry = FlowEntry {
+            cookie,
+            established: false,
+            closed: false,
+            sequence: packet.sequence,
+            acknowledged: 0,
+            last_seen: now,
+        };
         self.flows.insert(endpoints, entry);
         self.health.opening_sent(now, endpoints, id);
         self.forward(cookie).unwrap_or(FlowVerdict::Reset(ResetReason::NoServer))
@@ -342,7 +434,7 @@
         if !self.routes.contains_key(&packet.route) {
             return FlowVerdict::Reset(ResetReason::NoRoute);
         }
-        let entry = self.flows.get(&endpoints);
+        let entry = self.flows.get(&endpoints, packet.sequence);
         // The cookie of a flow that is established here cannot change.
         let pinned = entry.filter(|entry| entry.established && !entry.closed);
         let pinned = pinned.map(|entry| entry.cookie);
@@ -356,13 +448,19 @@
         if record.state == ServerState::Gone {
             return FlowVerdict::Reset(ResetReason::ServerGone);
         }
+        if entry.is_none() && self.flows.is_opening(&endpoints) {
+            // A late packet of an earlier flow of this port.
+            return self.forward(cookie).unwrap_or(FlowVerdict::Drop(DropReason::Unknown));
+        }
         let id = record.announcement.id;
         if entry.is_none_or(|entry| !entry.established) {
             self.health.opening_answered(&endpoints, id);
         }
         let closed =
             packet.closes || entry.is_some_and(|entry| entry.closed && entry.cookie == cookie);
-        let entry = FlowEntry { cookie, established: true, closed, last_seen: now };
+        let PacketInfo { sequence, acknowledged, .. } = *packet;
+        let entry =
+            FlowEntry { cookie, established: true, closed, sequence, acknowledged, last_seen: now };
         self.flows.insert(endpoints, entry);
         self.forward(cookie).unwrap_or(FlowVerdict::Drop(DropReason::Unknown))
     }
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -53,6 +53,8 @@
     servers: BTreeMap<u64, Registered>,
     /// Incarnation and number of the server that started last at each address.
     by_address: BTreeMap<SocketAddrV4, (u64, u64)>,
+    /// Servers that ended because another one started at their address.
+    superseded: Vec<u64>,
 }
 
 impl ServerRegistry {
@@ -64,6 +66,7 @@
             last_tick: None,
             servers: BTreeMap::new(),
             by_address: BTreeMap::new(),
+            superseded: Vec::new(),
         }
     }
 
@@ -131,6 +134,7 @@
         {
             return UpdateOutcome::Outdated;
         }
+        self.end_predecessor(&record);
         self.record_address(&record);
         if self.is_superseded(&record) {
             record.state = ServerState::Gone;
@@ -146,6 +150,28 @@
         outcome
     }
 
+    /// Marks the server that had the address of `record` before as gone.
+    fn end_predecessor(&mut self, record: &ServerRecord) {
+        let Announcement { addr, incarnation, id, .. } = record.announcement;
+        let Some(&(earlier, previous)) = self.by_address.get(&addr) else { return };
+        if earlier >= incarnation || previous == id {
+            return;
+        }
+        if let Some(server) = self.servers.get_mut(&previous)
+            && server.record.state != ServerState::Gone
+        {
+            server.record.state = ServerState::Gone;
+            self.superseded.push(previous);
+        }
+    }
+
+    /// Takes the records of servers that have ended since the last call because another one started
+    /// at their address.
+    pub fn take_superseded(&mut self) -> Vec<ServerRecord> {
+        let ids = std::mem::take(&mut self.superseded);
+        ids.iter().filter_map(|id| self.get(*id)).cloned().collect()
+    }
+
     fn record_address(&mut self, record: &ServerRecord) {
         let Announcement { addr, incarnation, id, .. } = record.announcement;
         let latest = self.by_address.entry(addr).or_insert((incarnation, id));
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -40,6 +40,8 @@
     /// Packets dropped because this VM has just started and its configuration or its list of
     /// backend servers is incomplete.
     PacketsEarly => "packets_early",
+    /// Packets that waited because this VM had just started.
+    PacketsHeld => "packets_held",
     /// Datagrams and commands lost because a buffer was full or the receiver unknown.
     DatagramsUnsent => "datagrams_unsent",
 
@@ -54,6 +56,8 @@
     FlowsResetUnserved => "flows_reset_unserved",
     /// Packets answered with a reset because the backend server of their flow is gone.
     FlowsResetGone => "flows_reset_gone",
+    /// Flows reset because another server has started at the address of their server.
+    FlowsResetSuperseded => "flows_reset_superseded",
     /// Packets dropped because they carry no cookie and their flow is not tracked.
     PacketsUncookied => "packets_uncookied",
     /// Packets dropped because no known backend server holds their cookie.
--- a/src/ctl/cookies.rs
+++ b/src/ctl/cookies.rs
@@ -103,6 +103,8 @@
             match message {
                 FeedMessage::Plan(plan) => status.plan = Some((*plan).clone()),
                 FeedMessage::Servers { records, .. } => status.servers.extend(records),
+                FeedMessage::ControlVms(control_vms) => status.control_vms = control_vms,
+                FeedMessage::ZoneSent => {}
                 FeedMessage::Heartbeat { index, confirmed, registry_age, control_vms } => {
                     (status.index, status.confirmed, status.control_vms) =
                         (index, confirmed, control_vms);
@@ -166,8 +168,16 @@
         for message in messages {
             forwarder.handle_feed(Time::ZERO, from, message);
         }
-        let packet =
-            PacketInfo { caller, route, opens: true, retransmits: 0, closes: false, cookie: 0 };
+        let packet = PacketInfo {
+            caller,
+            route,
+            opens: true,
+            sequence: 0,
+            acknowledged: 0,
+            retransmits: 0,
+            closes: false,
+            cookie: 0,
+        };
         let Explanation { verdict, servers } = forwarder.explain(Time::ZERO, &packet);
         if json {
             return output::print_json(&ExplainOutput {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,6 +12,7 @@
 mod logging;
 mod metrics;
 mod peers;
+mod presence;
 mod publish;
 mod registrar;
 mod stop;
--- a/src/daemon/feed_snapshot.rs
+++ b/src/daemon/feed_snapshot.rs
@@ -30,8 +30,15 @@
 }
 
 async fn read_messages(control: SocketAddr) -> io::Result<Vec<FeedMessage>> {
-    let hello = Hello::Feed { name: "galenactl".into(), index: 0, push_plans: true };
-    let mut stream = link::connect(control, &hello).await?;
+    let hello = Hello::Feed {
+        name: "galenactl".into(),
+        index: 0,
+        push_plans: true,
+        zone: "".into(),
+        listen: None,
+    };
+    let mut stream = link::connect(control, link::CONNECT_TIMEOUT).await?;
+    link::write_frame(&mut stream, &hello).await?;
     let mut messages = Vec::new();
     loop {
         let message: FeedMessage = link::read_frame(&mut stream).await?;
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -9,17 +9,21 @@
 use nix::time::{ClockId, clock_gettime};
 use tokio::{
     net::UdpSocket,
-    sync::{mpsc, watch},
-    time::{MissedTickBehavior, interval, sleep},
+    sync::{Notify, mpsc, watch},
+    time::{Instant, MissedTickBehavior, interval, sleep},
 };
 
 use super::{
     metrics::{self, Gauge, Latency, Metrics},
-    subscribe::{FeedClient, FeedEvent, FeedTargets},
+    presence,
+    subscribe::{FeedClient, FeedEvent},
     udp,
 };
 use crate::{
-    cookie::{DropReason, FeedMessage, FlowVerdict, Forwarder, PacketInfo, ResetReason},
+    cookie::{
+        DropReason, FeedMessage, FeedTargets, FlowReset, FlowVerdict, Forwarder, HeldPackets,
+        PacketInfo, ResetReason,
+    },
     counter::{Counter, Counters},
     error::{Error, Result},
     name::Name,
@@ -60,8 +64,8 @@
     /// Appends to `out` the form of `packet` that is sent to the server `id`, carrying `cookie`.
     fn write_forward(&self, packet: &[u8], id: u64, cookie: u32, out: &mut Vec<u8>);
 
-    /// Appends to `out` a packet that resets the flow of `packet` at its caller.
-    fn write_reset(&self, packet: &[u8], out: &mut Vec<u8>);
+    /// Appends to `out` a packet that resets a flow at its caller.
+    fn write_reset(&self, reset: &FlowReset, out: &mut Vec<u8>);
 }
 
 /// Settings of an entry VM that forwards by flow cookies.
@@ -73,6 +77,8 @@
     pub zone: Name,
     /// Address on which packets from callers arrive (UDP).
     pub packets: SocketAddr,
+    /// Address on which control VMs tell of their start (UDP).
+    pub listen: SocketAddr,
     /// Addresses of the control VMs to contact first.
     pub seeds: Vec<SocketAddr>,
     /// Interval at which backend servers announce themselves.
@@ -127,13 +133,21 @@
     let (index, applied) = watch::channel(0);
     let (seeds, feed_seeds) = watch::channel(settings.seeds.clone());
     let (events, feed_events) = mpsc::channel(QUEUE_LEN);
+    let targets = FeedTargets::new(settings.name.clone(), settings.zone.clone());
+    let (targets, hint) = (Arc::new(Mutex::new(targets)), Arc::new(Notify::new()));
+    let started_at = Instant::now();
+    let socket_presence = presence::bind(settings.listen).await?;
+    tokio::spawn(presence::receive(socket_presence, targets.clone(), hint.clone(), started_at));
     let feeds = FeedClient {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
+        listen: settings.listen,
         seeds: feed_seeds,
         index: applied,
         events,
-        targets: Arc::new(Mutex::new(FeedTargets::default())),
+        targets: targets.clone(),
+        hint: hint.clone(),
+        started_at,
     };
     tokio::spawn(feeds.clone().run(0));
     tokio::spawn(feeds.run(1));
@@ -154,6 +168,7 @@
         metrics,
         plan_received: now,
         packet_lines: 0,
+        held: HeldPackets::new(),
         out: Vec::with_capacity(PACKET_BUF_LEN),
     };
     tokio::spawn(event_loop.serve(feed_events));
@@ -184,6 +199,8 @@
     plan_received: Time,
     /// Log lines on packets since the last tick.
     packet_lines: u32,
+    /// Packets that wait for the plan or for server records.
+    held: HeldPackets,
     out: Vec<u8>,
 }
 
@@ -193,13 +210,19 @@
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
+            let expiry = self.held.next_expiry().map(|expiry| expiry.since(now()));
             let result = tokio::select! {
+                () = sleep(expiry.unwrap_or_default()), if expiry.is_some() => {
+                    self.release_held();
+                    Ok(())
+                }
                 readable = self.socket.readable() => {
                     readable.and_then(|()| self.receive_packets(&mut buf))
                 }
                 event = feed_events.recv() => match event {
                     Some(event) => {
                         self.handle_feed(event);
+                        self.release_held();
                         Ok(())
                     }
                     None => return,
@@ -235,8 +258,43 @@
             self.count(Counter::PacketsMalformed);
             return;
         };
+        if !stale && self.forwarder.awaits_feed(now, &info) {
+            self.count(Counter::PacketsHeld);
+            if let Some(oldest) = self.held.push(now, info, packet) {
+                self.forward_packet(now, &oldest.info, &oldest.bytes, false);
+            }
+            return;
+        }
+        self.forward_packet(now, &info, packet, stale);
+    }
+
+    /// Forwards the held packets that the VM now knows enough for or whose callers send them again.
+    fn release_held(&mut self) {
+        if self.held.is_empty() {
+            return;
+        }
+        let now = now();
+        let forwarder = &self.forwarder;
+        let released = self.held.take(now, |info| !forwarder.awaits_feed(now, info));
+        if released.is_empty() {
+            return;
+        }
+        let expired = released.iter().filter(|held| held.expiry <= now).count();
+        log::info!(
+            "event=released packets={} expired={expired} left={} plan={} servers={}",
+            released.len(),
+            self.held.len(),
+            forwarder.plan().index,
+            forwarder.directory().len()
+        );
+        for held in released {
+            self.forward_packet(now, &held.info, &held.bytes, false);
+        }
+    }
+
+    fn forward_packet(&mut self, now: Time, info: &PacketInfo, packet: &[u8], stale: bool) {
         self.out.clear();
-        match self.forwarder.decide(now, &info, stale) {
+        match self.forwarder.decide(now, info, stale) {
             FlowVerdict::Forward { to, id, cookie } => {
                 self.codec.write_forward(packet, id, cookie, &mut self.out);
                 self.count(Counter::PacketsForwarded);
@@ -248,24 +306,42 @@
                         Counter::FlowsOpened
                     });
                     if info.flow_hash().is_multiple_of(FLOW_SAMPLING) {
-                        self.log_packet(&info, format_args!("event=placed server={id:x}"));
+                        self.log_packet(info, format_args!("event=placed server={id:x}"));
                     }
                 }
                 self.send(SocketAddr::V4(to));
             }
             FlowVerdict::Reset(reason) => {
-                self.codec.write_reset(packet, &mut self.out);
                 self.count(reset_counter(reason));
-                self.log_packet(&info, format_args!("event=reset reason={reason:?}"));
-                self.send(SocketAddr::V4(SocketAddrV4::new(*info.caller.ip(), self.port)));
+                self.log_packet(info, format_args!("event=reset reason={reason:?}"));
+                self.send_reset(&info.reset());
             }
             FlowVerdict::Drop(reason) => {
                 self.count(drop_counter(reason));
-                self.log_packet(&info, format_args!("event=drop reason={reason:?}"));
+                self.log_packet(info, format_args!("event=drop reason={reason:?}"));
             }
         }
     }
 
+    /// Resets the flows whose servers have turned out to be gone.
+    fn send_resets(&mut self) {
+        let resets = self.forwarder.take_resets();
+        if resets.is_empty() {
+            return;
+        }
+        log::info!("event=flows_reset reason=superseded flows={}", resets.len());
+        for reset in resets {
+            self.count(Counter::FlowsResetSuperseded);
+            self.send_reset(&reset);
+        }
+    }
+
+    fn send_reset(&mut self, reset: &FlowReset) {
+        self.out.clear();
+        self.codec.write_reset(reset, &mut self.out);
+        self.send(SocketAddr::V4(SocketAddrV4::new(*reset.caller.ip(), self.port)));
+    }
+
     fn send(&mut self, to: SocketAddr) {
         if !udp::send(&self.socket, &self.out, to) {
             self.count(Counter::DatagramsUnsent);
@@ -295,6 +371,7 @@
                     self.update_readiness(now, *confirmed, *registry_age);
                 }
                 self.forwarder.handle_feed(now, source, message);
+                self.send_resets();
                 let index = self.forwarder.plan().index;
                 if self.index.send_if_modified(|current| std::mem::replace(current, index) != index)
                 {
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -3,7 +3,7 @@
 //!
 //! TCP alone does not report a peer that has gone silent; a missing acknowledgement does.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
@@ -13,7 +13,11 @@
     time::{sleep, timeout},
 };
 
-use crate::{control::Envelope, cookie::Gossip, name::Name};
+use crate::{
+    control::Envelope,
+    cookie::{ForwardingPlan, Gossip},
+    name::Name,
+};
 
 /// Longest accepted frame, in bytes; a snapshot with the largest configuration needs a tenth of it.
 const MAX_FRAME_LEN: usize = 8 << 20;
@@ -21,7 +25,7 @@
 const ACK_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time-out for connecting. A live VM accepts in some 20 ms; one without power does not answer at
 /// all.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Delay before the next connection attempt.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Capacity of the queue of a link; further messages are dropped, as the network may drop them.
@@ -51,6 +55,10 @@
         index: u64,
         /// Whether new plans are pushed to the VM; otherwise it gets them on request only.
         push_plans: bool,
+        /// Availability zone of the VM, whose servers it receives first.
+        zone: Name,
+        /// Address at which the VM receives presence datagrams, if it does.
+        listen: Option<SocketAddr>,
     },
 }
 
@@ -61,6 +69,12 @@
     Log(Envelope),
     /// Gossip about the server registry.
     Gossip(Gossip),
+    /// The control VM at this address has no plan and requests one.
+    PlanRequest(SocketAddr),
+    /// The newest plan that the sender knows, which may not be in force any more.
+    Plan(Arc<ForwardingPlan>),
+    /// Addresses of the entry VMs that subscribe to the sender.
+    EntryVms(Vec<SocketAddr>),
 }
 
 /// An outgoing message, with the channel to notify once its receiver has acknowledged it.
@@ -69,11 +83,10 @@
     pub(super) delivered: Option<mpsc::Sender<()>>,
 }
 
-/// Connects within [`CONNECT_TIMEOUT`] and sends the hello frame.
-pub(super) async fn connect(to: SocketAddr, hello: &Hello) -> io::Result<TcpStream> {
-    let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await??;
+/// Connects to another VM within `wait`.
+pub(super) async fn connect(to: SocketAddr, wait: Duration) -> io::Result<TcpStream> {
+    let stream = timeout(wait, TcpStream::connect(to)).await??;
     stream.set_nodelay(true)?;
-    write_frame(&mut stream, hello).await?;
     Ok(stream)
 }
 
@@ -156,7 +169,8 @@
     queue: &mut mpsc::Receiver<Outbound<PeerFrame>>,
     batch: &mut Vec<Outbound<PeerFrame>>,
 ) -> io::Result<()> {
-    let mut stream = connect(to, &Hello::Peer).await?;
+    let mut stream = connect(to, CONNECT_TIMEOUT).await?;
+    write_frame(&mut stream, &Hello::Peer).await?;
     *failed = false;
     log::info!("event=peer_reached peer={to}");
     // Without a receiver, the event loop has ended.
--- a/src/daemon/publish.rs
+++ b/src/daemon/publish.rs
@@ -1,16 +1,17 @@
 //! Publisher of plans and server records to subscribed entry VMs.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
+    io::AsyncReadExt,
     net::TcpStream,
     sync::{mpsc, watch},
-    time::sleep,
+    time::{Instant, sleep_until},
 };
 
 use super::link::{self, Ack, Outbound};
 use crate::{
-    cookie::{FeedMessage, ForwardingPlan, ServerRecord},
+    cookie::{FeedMessage, ForwardingPlan, ServerRecord, ServerState},
     name::Name,
     routing_config::RoutingConfig,
     state::State,
@@ -24,12 +25,21 @@
 /// skipped.
 const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(150);
 
+/// The queue of a subscriber and the address at which it receives presence datagrams.
+struct SubscriberQueue {
+    listen: Option<SocketAddr>,
+    sender: mpsc::Sender<Outbound<EncodedFrame>>,
+}
+
 /// An encoded feed message, shared by all subscribers.
 type EncodedFrame = Arc<[u8]>;
 
 /// An entry VM that has subscribed to the feed.
 pub(super) struct Subscriber {
     pub(super) name: Name,
+    pub(super) zone: Name,
+    /// Address at which the VM receives presence datagrams, if it does.
+    pub(super) listen: Option<SocketAddr>,
     pub(super) index: u64,
     pub(super) push_plans: bool,
     pub(super) stream: TcpStream,
@@ -42,15 +52,62 @@
     encoded: EncodedFrame,
 }
 
+/// The encoded records of all servers.
+///
+/// They are split into frames that a slow link carries well within the acknowledgement time-out.
+struct ServerFrames {
+    /// Servers that are not gone, by availability zone.
+    zones: BTreeMap<Name, Vec<EncodedFrame>>,
+    gone: Vec<EncodedFrame>,
+}
+
+impl ServerFrames {
+    fn new<'a>(records: impl Iterator<Item = &'a ServerRecord>) -> ServerFrames {
+        let mut zones: BTreeMap<Name, Vec<ServerRecord>> = BTreeMap::new();
+        let mut gone = Vec::new();
+        for record in records.cloned() {
+            match record.state {
+                ServerState::Gone => gone.push(record),
+                _ => zones.entry(record.announcement.zone.clone()).or_default().push(record),
+            }
+        }
+        ServerFrames {
+            zones: zones.into_iter().map(|(zone, records)| (zone, split(&records))).collect(),
+            gone: split(&gone),
+        }
+    }
+
+    /// Returns the frames for an entry VM in `zone`: the servers of that zone, to which nearly all of
+    /// its packets go, first, and those that are gone last.
+    fn frames_for(&self, zone: &Name) -> Vec<EncodedFrame> {
+        let reset = FeedMessage::Servers { all: true, records: Vec::new() };
+        let mut frames = vec![encode(&reset)];
+        frames.extend(self.zones.get(zone).into_iter().flatten().cloned());
+        frames.push(encode(&FeedMessage::ZoneSent));
+        let others = self.zones.iter().filter(|(other, _)| *other != zone);
+        frames.extend(others.flat_map(|(_, frames)| frames).cloned());
+        frames.extend(self.gone.iter().cloned());
+        frames
+    }
+}
+
+fn split(records: &[ServerRecord]) -> Vec<EncodedFrame> {
+    let message =
+        |chunk: &[ServerRecord]| FeedMessage::Servers { all: false, records: chunk.to_vec() };
+    records.chunks(MAX_FRAME_RECORDS).map(|chunk| encode(&message(chunk))).collect()
+}
+
 /// Sends the feed to all subscribers.
 pub(super) struct Publisher {
-    queues: Vec<mpsc::Sender<Outbound<EncodedFrame>>>,
+    queues: Vec<SubscriberQueue>,
+    /// Addresses of subscribers whose feed has ended since they were last taken.
+    ended: Vec<SocketAddr>,
     newest: watch::Sender<EncodedPlan>,
     plan: Option<Arc<ForwardingPlan>>,
     /// The configuration from which the plan was made.
     config: Option<Arc<RoutingConfig>>,
     /// Encoded records of all servers, cached until one of them changes.
-    server_frames: Vec<EncodedFrame>,
+    server_frames: Option<ServerFrames>,
 }
 
 impl Publisher {
@@ -59,10 +116,11 @@
         let newest = watch::Sender::new(EncodedPlan::default());
         let mut publisher = Publisher {
             queues: Vec::new(),
+            ended: Vec::new(),
             newest,
             plan: None,
             config: None,
-            server_frames: Vec::new(),
+            server_frames: None,
         };
         if let Some(plan) = plan {
             publisher.set_plan(plan);
@@ -79,6 +137,24 @@
         self.queues.len()
     }
 
+    /// Returns the addresses at which the present subscribers receive presence datagrams.
+    pub(super) fn subscriber_addrs(&self) -> Vec<SocketAddr> {
+        let open = self.queues.iter().filter(|queue| !queue.sender.is_closed());
+        open.filter_map(|queue| queue.listen).collect()
+    }
+
+    /// Drops the subscribers whose feed has ended, and returns the addresses of those that have no
+    /// other feed from this VM.
+    pub(super) fn take_lost(&mut self) -> Vec<SocketAddr> {
+        let ended = self.queues.extract_if(.., |queue| queue.sender.is_closed());
+        self.ended.extend(ended.filter_map(|queue| queue.listen));
+        if self.ended.is_empty() {
+            return Vec::new();
+        }
+        let open = self.subscriber_addrs();
+        self.ended.drain(..).filter(|addr| !open.contains(addr)).collect()
+    }
+
     fn set_plan(&mut self, plan: Arc<ForwardingPlan>) {
         let ForwardingPlan { index, config, zones_out } = &*plan;
         log::info!("event=plan index={index} number={} out={zones_out:?}", config.number);
@@ -87,6 +163,19 @@
         self.plan = Some(plan);
     }
 
+    /// Publishes a plan that another control VM has sent, unless there is one already; returns
+    /// whether it was published.
+    ///
+    /// Like a plan saved before a restart, it holds until the log says more.
+    pub(super) fn adopt(&mut self, plan: Arc<ForwardingPlan>) -> bool {
+        let missing = self.plan.is_none();
+        if missing {
+            log::info!("event=plan_adopted index={}", plan.index);
+            self.set_plan(plan);
+        }
+        missing
+    }
+
     /// Publishes the plan of `state` if it is newer than the last one and differs from it; returns
     /// whether it was published.
     pub(super) fn publish(&mut self, state: &State) -> bool {
@@ -117,49 +206,41 @@
     /// Sends a message to all subscribers, and drops those whose queue is full.
     pub(super) fn send(&mut self, message: &FeedMessage, delivered: Option<&mpsc::Sender<()>>) {
         if matches!(message, FeedMessage::Servers { .. }) {
-            self.server_frames.clear();
+            self.server_frames = None;
         }
         if self.queues.is_empty() {
             return;
         }
         let encoded = encode(message);
-        self.queues.retain(|queue| {
+        let dropped = self.queues.extract_if(.., |queue| {
             let outbound = Outbound { message: encoded.clone(), delivered: delivered.cloned() };
-            queue.try_send(outbound).is_ok()
+            queue.sender.try_send(outbound).is_err()
         });
+        self.ended.extend(dropped.filter_map(|queue| queue.listen));
     }
 
-    /// Adds a subscriber, which first gets the records of all servers.
-    ///
-    /// The records are split into frames that a slow link carries well within the acknowledgement
-    /// time-out.
+    /// Adds a subscriber, which gets the message `first`, the plan, the records of all servers and
+    /// the message `last`.
     pub(super) fn subscribe<'a, I: Iterator<Item = &'a ServerRecord>>(
         &mut self,
         subscriber: Subscriber,
-        heartbeat: FeedMessage,
+        [first, last]: [FeedMessage; 2],
         records: impl Fn() -> I,
     ) {
-        if self.server_frames.is_empty() {
-            let records: Vec<_> = records().cloned().collect();
-            let first = FeedMessage::Servers { all: true, records: Vec::new() };
-            self.server_frames.push(encode(&first));
-            for chunk in records.chunks(MAX_FRAME_RECORDS) {
-                let message = FeedMessage::Servers { all: false, records: chunk.to_vec() };
-                self.server_frames.push(encode(&message));
-            }
-        }
-        let (queue, queue_rx) = mpsc::channel(QUEUE_LEN + self.server_frames.len());
+        let servers = self.server_frames.get_or_insert_with(|| ServerFrames::new(records()));
+        let frames = servers.frames_for(&subscriber.zone);
+        let (queue, queue_rx) = mpsc::channel(QUEUE_LEN + frames.len());
         // The heartbeat comes last: it says for how long servers without a record have been silent.
-        for message in self.server_frames.iter().cloned().chain([encode(&heartbeat)]) {
+        for message in frames.into_iter().chain([encode(&last)]) {
             // Cannot fail: the queue is new and long enough.
             _ = queue.try_send(Outbound { message, delivered: None });
         }
-        self.queues.push(queue);
+        self.queues.push(SubscriberQueue { listen: subscriber.listen, sender: queue });
         let newest = self.newest.subscribe();
         log::info!("event=feed_start vm={} index={}", subscriber.name, subscriber.index);
         tokio::spawn(async move {
             let name = subscriber.name.clone();
-            if let Err(err) = send_feed(subscriber, queue_rx, newest).await {
+            if let Err(err) = send_feed(subscriber, encode(&first), queue_rx, newest).await {
                 log::info!("event=feed_end vm={name} reason={:?}", err.to_string());
             }
         });
@@ -169,24 +250,37 @@
 /// Sends the feed to one subscriber until its connection fails or it is dropped.
 async fn send_feed(
     subscriber: Subscriber,
+    first: EncodedFrame,
     mut queue_rx: mpsc::Receiver<Outbound<EncodedFrame>>,
     mut newest: watch::Receiver<EncodedPlan>,
 ) -> io::Result<()> {
     let Subscriber { index: mut sent_index, push_plans, mut stream, .. } = subscriber;
     let mut send_plan = true;
+    let mut plan_due = Instant::now();
+    if push_plans {
+        // Only the first feed prefers some control VMs to others.
+        link::send_frame(&mut stream, &first).await?;
+    }
     loop {
         let plan = newest.borrow_and_update().clone();
-        if send_plan && plan.index > sent_index {
+        let pending = send_plan && plan.index > sent_index;
+        if pending && Instant::now() >= plan_due {
             link::send_frame(&mut stream, &plan.encoded).await?;
             sent_index = plan.index;
             send_plan = push_plans;
-            if push_plans {
-                sleep(MIN_PLAN_INTERVAL).await;
-            }
+            plan_due = Instant::now() + MIN_PLAN_INTERVAL;
             continue;
         }
         tokio::select! {
-            changed = newest.changed(), if send_plan => changed.map_err(io::Error::other)?,
+            () = sleep_until(plan_due), if pending => {}
+            changed = newest.changed(), if send_plan && !pending => {
+                changed.map_err(io::Error::other)?;
+            }
+            // A subscriber sends nothing unless it is sent something: this is the end of its process.
+            unexpected = stream.read_u8() => {
+                let reason = unexpected.map_or_else(|err| err, |_| unsolicited());
+                return Err(reason);
+            }
             outbound = queue_rx.recv() => {
                 let Some(Outbound { message, delivered }) = outbound else { return Ok(()) };
                 let ack = link::send_frame(&mut stream, &message).await?;
@@ -200,6 +294,11 @@
     }
 }
 
+#[cold]
+fn unsolicited() -> io::Error {
+    io::Error::other("the subscriber sent a byte without a message; it is no entry VM")
+}
+
 fn encode(message: &FeedMessage) -> EncodedFrame {
     link::encode_frame(message).into()
 }
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -16,13 +16,13 @@
 
 use super::{
     link::{self, Ack, PeerFrame},
-    metrics,
+    metrics, presence,
     publish::{Publisher, Subscriber},
     writer,
 };
 use crate::{
     control::{ControlEndpoint, ControlNode, DirDisk, Recovered, Storage, SubmitResult},
-    cookie::{Announcement, FeedCache, ServerRegistry},
+    cookie::{Announcement, EntryVms, FeedCache, ServerRegistry},
     error::{Error, Result},
     name::Name,
     routing_config::RoutingConfig,
@@ -185,6 +185,7 @@
         let message = format!("{}: {err}; free the address or choose another", settings.listen);
         Error::settings(message)
     })?;
+    let presence = presence::bind(settings.listen).await?;
     let metrics = metrics::start(settings.metrics, &settings.name, &settings.zone).await?;
     let (calls, call_queue) = mpsc::channel(QUEUE_LEN);
     tokio::spawn(accept(listener, calls.clone()));
@@ -197,6 +198,8 @@
     let mut event_loop =
         EventLoop::new(settings, node, registry, publisher, connected, writer_jobs);
     event_loop.metrics = metrics;
+    event_loop.entry_vms = EntryVms::new(Time::ZERO, cache.entry_vms);
+    event_loop.presence = Some(presence);
     tokio::spawn(event_loop.serve(call_queue, storage_events, connections));
     Ok(Registrar { calls })
 }
@@ -234,8 +237,8 @@
                         }
                     }
                 }
-                Ok(link::Hello::Feed { name, index, push_plans }) => {
-                    let subscriber = Subscriber { name, index, push_plans, stream };
+                Ok(link::Hello::Feed { name, index, push_plans, zone, listen }) => {
+                    let subscriber = Subscriber { name, zone, listen, index, push_plans, stream };
                     _ = calls.send(Call::Feed(subscriber)).await;
                 }
                 Err(err) => log::warn!("event=link_refused reason={:?}", err.to_string()),
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
+    net::UdpSocket,
     sync::{mpsc, oneshot},
     time::{Instant, MissedTickBehavior, interval, timeout},
 };
@@ -11,8 +12,8 @@
 use crate::{
     control::{ControlAction, ControlEvent, ControlNode, Envelope, Submission, SubmitResult},
     cookie::{
-        Announcement, FeedCache, FeedMessage, ServerRecord, ServerRegistry, UpdateBatcher,
-        UpdateOutcome,
+        Announcement, EntryVms, FeedCache, FeedMessage, ServerRecord, ServerRegistry,
+        UpdateBatcher, UpdateOutcome,
     },
     counter::{Counter, Counters},
     daemon::{
@@ -30,7 +31,7 @@
 /// Interval of gossip rounds, a fraction of the time after which a server counts as silent.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
 /// Shortest interval at which the plan and the server records are saved to disk.
-const SAVE_INTERVAL: Duration = Duration::from_secs(2);
+const SAVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of heartbeats to entry VMs.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time-out for another VM to confirm that a server drains or has left; the server expects a reply
@@ -54,6 +55,9 @@
     pub(super) node: ControlNode,
     pub(super) registry: ServerRegistry,
     pub(super) publisher: Publisher,
+    pub(super) entry_vms: EntryVms,
+    /// Socket that tells entry VMs of the start of this VM.
+    pub(super) presence: Option<UdpSocket>,
     pub(super) update_batcher: UpdateBatcher,
     writer_jobs: mpsc::UnboundedSender<Job>,
     pub(super) metrics: Option<Metrics>,
@@ -71,6 +75,7 @@
     /// Whether another control VM has sent all of its records.
     pub(super) synchronised: bool,
     gossip_due: Time,
+    pub(super) entry_gossip_due: Time,
     save_due: Time,
     /// Whether the plan or a record has changed since it was last saved.
     pub(super) unsaved: bool,
@@ -92,6 +97,8 @@
             node,
             registry,
             publisher,
+            entry_vms: EntryVms::new(Time::ZERO, Vec::new()),
+            presence: None,
             update_batcher: UpdateBatcher::new(),
             writer_jobs,
             metrics: None,
@@ -104,6 +111,7 @@
             last_ticket: 0,
             synchronised: false,
             gossip_due: Time::ZERO,
+            entry_gossip_due: Time::ZERO,
             save_due: Time::ZERO + SAVE_INTERVAL,
             unsaved: false,
             heartbeat_due: Time::ZERO,
@@ -156,8 +164,13 @@
                 self.handle_event(ControlEvent::Stop);
             }
             Call::Feed(subscriber) => {
-                let heartbeat = self.heartbeat();
-                self.publisher.subscribe(subscriber, heartbeat, || self.registry.records());
+                if let Some(addr) = subscriber.listen {
+                    self.entry_vms.record_subscribed(self.now(), addr);
+                    self.unsaved = true;
+                }
+                let first = FeedMessage::ControlVms(self.control_vms());
+                let last = self.heartbeat();
+                self.publisher.subscribe(subscriber, [first, last], || self.registry.records());
             }
         }
     }
@@ -186,7 +199,10 @@
                 if outcome == UpdateOutcome::Changed {
                     log_record("announced", &record);
                 }
-                let delivered = self.broadcast(vec![record]);
+                let mut records = self.registry.take_superseded();
+                records.iter().for_each(|record| log_record("superseded", record));
+                records.push(record);
+                let delivered = self.broadcast(records);
                 self.confirm(delivered, draining, reply);
             }
             _ => _ = reply.send(Ok(())),
@@ -235,17 +251,26 @@
             match frame {
                 PeerFrame::Log(envelope) => self.handle_event(ControlEvent::Message(envelope)),
                 PeerFrame::Gossip(gossip) => self.handle_gossip(gossip),
+                PeerFrame::PlanRequest(from) => self.send_plan(from),
+                PeerFrame::Plan(plan) => self.unsaved |= self.publisher.adopt(plan),
+                PeerFrame::EntryVms(addrs) => {
+                    self.entry_vms.record_served(self.now(), addrs);
+                    self.unsaved = true;
+                }
             }
         }
     }
 
     fn tick(&mut self) {
         let now = self.now();
+        self.tell_entry_vms(now);
         self.handle_event(ControlEvent::Tick);
         if now >= self.gossip_due {
             self.gossip_due = now + GOSSIP_INTERVAL;
             let (records, refreshed) = self.registry.take_pending();
             self.send_gossip(!self.synchronised, records, refreshed, None);
+            self.request_plan();
+            self.gossip_entry_vms(now);
             self.publish_metrics(now);
             let changed = self.registry.tick(now);
             let silent = changed.iter().filter(|record| record.silent).count();
@@ -274,7 +299,9 @@
         self.unsaved = false;
         self.save_due = now + SAVE_INTERVAL;
         let records = self.registry.records().cloned().collect();
-        let cache = FeedCache { plan: self.publisher.plan(), records };
+        self.entry_vms.record_served(now, self.publisher.subscriber_addrs());
+        let entry_vms = self.entry_vms.retained(now);
+        let cache = FeedCache { plan: self.publisher.plan(), records, entry_vms };
         _ = self.writer_jobs.send(Job::SaveFeed(Box::new(cache)));
     }
 
--- a/src/daemon/registrar/gossip.rs
+++ b/src/daemon/registrar/gossip.rs
@@ -7,10 +7,19 @@
 use super::event_loop::{EventLoop, Peer};
 use crate::{
     cookie::{ControlLocation, FeedMessage, Gossip, ServerRecord, UpdateOutcome},
-    daemon::link::{self, Outbound, PeerFrame},
+    daemon::{
+        link::{self, Outbound, PeerFrame},
+        presence,
+    },
     name::Name,
+    time::Time,
 };
 
+/// Longest interval at which control VMs exchange the addresses of their subscribers, a fraction of
+/// the time for which an entry VM is remembered.
+const ENTRY_GOSSIP_INTERVAL: Duration = Duration::from_secs(60);
+/// Registry age of another control VM from which on this start is not the end of an outage of all.
+const SETTLED_AGE: Duration = Duration::from_secs(5);
 /// Time without gossip after which a control VM that is not a member is no longer listed as a peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -59,6 +68,58 @@
         }
     }
 
+    /// Requests a plan from the other control VMs if this one has none, for example after it has
+    /// lost its disk.
+    ///
+    /// Its entry VMs would otherwise have to wait for the next leader.
+    pub(super) fn request_plan(&mut self) {
+        if self.publisher.plan().is_some() {
+            return;
+        }
+        let message = PeerFrame::PlanRequest(self.settings.listen);
+        for to in self.peer_addrs() {
+            self.send_to_peer(to, Outbound { message: message.clone(), delivered: None });
+        }
+    }
+
+    /// Sends the newest known plan, if any, to a control VM that has requested it.
+    pub(super) fn send_plan(&mut self, to: SocketAddr) {
+        if let Some(plan) = self.publisher.plan() {
+            self.send_to_peer(to, Outbound { message: PeerFrame::Plan(plan), delivered: None });
+        }
+    }
+
+    /// Tells entry VMs without a feed that this control VM is up.
+    pub(super) fn tell_entry_vms(&mut self, now: Time) {
+        for addr in self.publisher.take_lost() {
+            self.entry_vms.record_lost(now, addr);
+        }
+        let due = self.entry_vms.take_due(now);
+        if due.is_empty() {
+            return;
+        }
+        let Some(socket) = &self.presence else { return };
+        let sent = presence::send(socket, &self.local_location(), &due);
+        log::debug!("event=presence_sent vms={} sent={sent}", due.len());
+    }
+
+    /// Sends the addresses of new subscribers to the other control VMs, and now and then those of
+    /// all subscribers.
+    pub(super) fn gossip_entry_vms(&mut self, now: Time) {
+        let mut addrs = self.entry_vms.take_news();
+        if now >= self.entry_gossip_due {
+            self.entry_gossip_due = now + ENTRY_GOSSIP_INTERVAL;
+            addrs = self.publisher.subscriber_addrs();
+        }
+        if addrs.is_empty() {
+            return;
+        }
+        for to in self.peer_addrs() {
+            let message = PeerFrame::EntryVms(addrs.clone());
+            self.send_to_peer(to, Outbound { message, delivered: None });
+        }
+    }
+
     pub(super) fn send_to_peer(&mut self, to: SocketAddr, outbound: Outbound<PeerFrame>) {
         let link = self.links.entry(to).or_insert_with(|| link::start(to, self.connected.clone()));
         // A full queue drops the message, as the network may.
@@ -100,12 +161,16 @@
                 changed.extend(self.registry.get(id).cloned());
             }
         }
+        changed.extend(self.registry.take_superseded());
         if !changed.is_empty() {
             self.unsaved = true;
             self.publish_records(changed, None);
         }
         if let Some(registry_age) = registry_age {
             self.registry.inherit_age(now, registry_age);
+            if registry_age >= SETTLED_AGE {
+                self.entry_vms.record_other_up();
+            }
             self.synchronised = true;
         }
         if request_all {
@@ -129,15 +194,20 @@
 
     pub(super) fn heartbeat(&self) -> FeedMessage {
         let now = self.now();
-        let control_vms = self.peer_addrs().into_iter().map(|addr| {
-            let zone = self.peers.get(&addr).map_or_else(|| Name::from(""), |p| p.zone.clone());
-            ControlLocation { addr, zone }
-        });
         FeedMessage::Heartbeat {
             index: self.node.state().index,
             confirmed: self.node.is_up_to_date(now),
             registry_age: self.registry.age(now),
-            control_vms: control_vms.chain([self.local_location()]).collect(),
+            control_vms: self.control_vms(),
         }
     }
+
+    /// Returns every known control VM, this one included.
+    pub(super) fn control_vms(&self) -> Vec<ControlLocation> {
+        let others = self.peer_addrs().into_iter().map(|addr| {
+            let zone = self.peers.get(&addr).map_or_else(|| Name::from(""), |p| p.zone.clone());
+            ControlLocation { addr, zone }
+        });
+        others.chain([self.local_location()]).collect()
+    }
 }
--- a/src/daemon/subscribe.rs
+++ b/src/daemon/subscribe.rs
@@ -2,31 +2,41 @@
 //! VM's own availability zone.
 
 use std::{
-    collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use tokio::{
     net::TcpStream,
-    sync::{mpsc, watch},
-    time::{sleep, timeout},
+    sync::{Notify, mpsc, watch},
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
 };
 
 use super::link::{self, Ack, Hello};
 use crate::{
-    cookie::{ControlLocation, FeedMessage},
-    member::hash,
+    cookie::{ControlLocation, FeedMessage, FeedTargets},
     name::Name,
+    time::Time,
 };
 
 /// Time without a message after which a control VM counts as unreachable: two and a half heartbeat
 /// intervals.
 const FEED_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Delay before the next attempt to connect to a control VM.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time-out for the first message, which a control VM sends as soon as it accepts a feed.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Delay before the next round of connection attempts.
+const RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Delay between the starts of two attempts of a round: longer than a round trip between
+/// availability zones, so that most rounds take one attempt.
+const STAGGER: Duration = Duration::from_millis(20);
+/// Time-out for an attempt in the first rounds. TCP repeats an opening packet to a VM without power
+/// after a second only, so that short attempts find the VM sooner once it is back.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(60);
+/// Rounds with [`SHORT_TIMEOUT`]: some two seconds, in which most outages of all VMs end.
+const SHORT_ROUNDS: u32 = 16;
 
 /// An event of a feed.
 pub(super) enum FeedEvent {
@@ -36,121 +46,164 @@
     Lost(SocketAddr),
 }
 
-/// The known control VMs with their availability zones, and the control VM of each feed.
-#[derive(Default)]
-pub(super) struct FeedTargets {
-    zones: BTreeMap<SocketAddr, Name>,
-    in_use: [Option<SocketAddr>; 2],
-}
-
 /// Configuration and state shared by the feeds of a VM.
 #[derive(Clone)]
 pub(super) struct FeedClient {
     pub(super) name: Name,
     pub(super) zone: Name,
+    /// Address at which the VM receives presence datagrams.
+    pub(super) listen: SocketAddr,
     pub(super) seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Number of commands that the VM has applied.
     pub(super) index: watch::Receiver<u64>,
     pub(super) events: mpsc::Sender<FeedEvent>,
     pub(super) targets: Arc<Mutex<FeedTargets>>,
+    /// Notified when a control VM has told of its start.
+    pub(super) hint: Arc<Notify>,
+    pub(super) started_at: Instant,
+}
+
+/// A connection to the control VM of a feed.
+struct Connection {
+    target: SocketAddr,
+    stream: TcpStream,
 }
 
 impl FeedClient {
     /// Runs feed `slot` (0 or 1) for ever, reconnecting when it fails.
     pub(super) async fn run(self, slot: usize) {
-        let mut attempt = 0;
         loop {
-            attempt += 1;
-            let Some(target) = self.choose_target(slot, attempt) else {
-                sleep(RETRY_DELAY).await;
-                continue;
-            };
-            let mut connected = false;
-            let result = self.read_feed(slot, target, &mut connected).await;
-            self.release_target(slot);
-            if connected {
-                let reason = result.err().map(|err| err.to_string()).unwrap_or_default();
-                log::info!("event=feed_lost control={target} reason={reason:?}");
+            let mut connection = self.connect(slot).await;
+            loop {
+                let target = connection.target;
+                let result = self.read_feed(slot, connection).await;
+                let reason = match &result {
+                    Ok(next) => format!("control VM {} is nearer", next.target),
+                    Err(err) => err.to_string(),
+                };
+                log::info!("event=feed_lost control={target} slot={slot} reason={reason:?}");
                 _ = self.events.send(FeedEvent::Lost(target)).await;
+                match result {
+                    Ok(next) => connection = next,
+                    Err(_) => break,
+                }
             }
+            self.targets().record_failure(self.now(), slot);
             sleep(RETRY_DELAY).await;
         }
     }
 
-    /// Chooses a control VM that the other feed does not use.
-    fn choose_target(&self, slot: usize, attempt: u64) -> Option<SocketAddr> {
-        let mut known = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
-        let other = known.in_use[1 - slot];
-        let seeds = self.seeds.borrow().clone();
-        let mut targets: Vec<_> = known.zones.keys().copied().chain(seeds).collect();
-        targets.sort_unstable();
-        targets.dedup();
-        targets.retain(|target| Some(*target) != other);
-        let is_local =
-            |target: &SocketAddr| known.zones.get(target).is_some_and(|z| *z == self.zone);
-        let rank = |target: &SocketAddr| {
-            let seed = format!("{} {target} {attempt}", self.name);
-            // Feed 0 prefers its own zone on odd attempts only, so that an unreachable control VM
-            // there does not keep it from the others.
-            (slot == 0 && attempt % 2 == 1 && !is_local(target), hash(seed.as_bytes()))
-        };
-        let target = targets.into_iter().min_by_key(rank)?;
-        known.in_use[slot] = Some(target);
-        Some(target)
+    /// Connects feed `slot` to a control VM, in rounds until one accepts.
+    async fn connect(&self, slot: usize) -> Connection {
+        let mut round = 0_u32;
+        loop {
+            let wait = if round < SHORT_ROUNDS { SHORT_TIMEOUT } else { link::CONNECT_TIMEOUT };
+            let attempt = tokio::select! {
+                attempt = self.connect_first(slot, wait) => attempt,
+                () = self.hint.notified() => continue,
+            };
+            if let Some(connection) = attempt {
+                return connection;
+            }
+            round = round.saturating_add(1);
+            sleep(RETRY_DELAY).await;
+        }
     }
 
-    fn release_target(&self, slot: usize) {
-        self.targets.lock().unwrap_or_else(PoisonError::into_inner).in_use[slot] = None;
+    /// Tries each control VM, one [`STAGGER`] after the other, and returns the connection to the
+    /// first that accepts.
+    async fn connect_first(&self, slot: usize, wait: Duration) -> Option<Connection> {
+        let seeds = self.seeds.borrow().clone();
+        let candidates = self.targets().candidates(self.now(), slot, &seeds);
+        let mut attempts = JoinSet::new();
+        for (target, place) in candidates.into_iter().zip(0..) {
+            attempts.spawn(async move {
+                sleep(STAGGER * place).await;
+                let stream = link::connect(target, wait).await?;
+                io::Result::Ok(Connection { target, stream })
+            });
+        }
+        while let Some(attempt) = attempts.join_next().await {
+            let Ok(Ok(connection)) = attempt else { continue };
+            if self.targets().claim(slot, connection.target) {
+                return Some(connection);
+            }
+        }
+        None
     }
 
-    async fn read_feed(
-        &self,
-        slot: usize,
-        target: SocketAddr,
-        connected: &mut bool,
-    ) -> io::Result<()> {
+    /// Reads a feed until it fails, or until a connection to a nearer control VM stands.
+    async fn read_feed(&self, slot: usize, connection: Connection) -> io::Result<Connection> {
+        let Connection { target, mut stream } = connection;
         let index = *self.index.borrow();
-        let hello = Hello::Feed { name: self.name.clone(), index, push_plans: slot == 0 };
-        let mut stream: TcpStream = link::connect(target, &hello).await?;
+        let hello = Hello::Feed {
+            name: self.name.clone(),
+            index,
+            push_plans: slot == 0,
+            zone: self.zone.clone(),
+            listen: Some(self.listen),
+        };
+        link::write_frame(&mut stream, &hello).await?;
+        let mut wait = FIRST_TIMEOUT;
         loop {
-            let message: FeedMessage =
-                timeout(FEED_TIMEOUT, link::read_frame(&mut stream)).await??;
-            if !*connected {
-                *connected = true;
-                log::info!("event=feed_reached control={target}");
-            }
-            let mut ack = Ack::Received;
-            let mut switch = false;
-            if let FeedMessage::Heartbeat { index, control_vms, .. } = &message {
-                if slot != 0 && *index > *self.index.borrow() {
-                    ack = Ack::NeedsPlan;
-                }
-                switch = self.update_targets(slot, target, control_vms);
+            let message: FeedMessage = timeout(wait, link::read_frame(&mut stream)).await??;
+            if wait != FEED_TIMEOUT {
+                wait = FEED_TIMEOUT;
+                log::info!("event=feed_reached control={target} slot={slot}");
             }
-            if self.events.send(FeedEvent::Message(target, message)).await.is_err() {
-                return Ok(());
+            let ack = self.choose_ack(slot, &message);
+            if let Some(nearer) = self.find_nearer(slot, &message).await {
+                return Ok(nearer);
             }
+            self.events
+                .send(FeedEvent::Message(target, message))
+                .await
+                .map_err(|_| io::Error::other("the event loop has ended"))?;
             link::write_ack(&mut stream, ack).await?;
-            if switch {
-                return Err(io::Error::other(
-                    "a control VM in the local availability zone is available",
-                ));
+        }
+    }
+
+    fn choose_ack(&self, slot: usize, message: &FeedMessage) -> Ack {
+        match message {
+            FeedMessage::Heartbeat { index, .. } if slot != 0 && *index > *self.index.borrow() => {
+                Ack::NeedsPlan
+            }
+            _ => Ack::Received,
+        }
+    }
+
+    /// Learns of the control VMs that `message` lists, and connects to one of the own availability
+    /// zone if the feed should use it.
+    async fn find_nearer(&self, slot: usize, message: &FeedMessage) -> Option<Connection> {
+        let (FeedMessage::Heartbeat { control_vms, .. } | FeedMessage::ControlVms(control_vms)) =
+            message
+        else {
+            return None;
+        };
+        let target = self.learn_targets(slot, control_vms)?;
+        match link::connect(target, SHORT_TIMEOUT).await {
+            Ok(stream) if self.targets().claim(slot, target) => Some(Connection { target, stream }),
+            Ok(_) => None,
+            Err(err) => {
+                log::info!("event=nearer_refused control={target} reason={:?}", err.to_string());
+                self.targets().avoid(self.now(), target);
+                None
             }
         }
     }
 
-    /// Replaces the known control VMs; returns whether feed 0 should switch to one in its own zone.
-    fn update_targets(
-        &self,
-        slot: usize,
-        target: SocketAddr,
-        control_vms: &[ControlLocation],
-    ) -> bool {
-        let mut known = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
-        known.zones = control_vms.iter().map(|vm| (vm.addr, vm.zone.clone())).collect();
-        let is_local = |addr: &SocketAddr| known.zones.get(addr).is_some_and(|z| *z == self.zone);
-        let other = known.in_use[1 - slot];
-        let local_available = known.zones.keys().any(|addr| is_local(addr) && Some(*addr) != other);
-        slot == 0 && local_available && !is_local(&target)
+    fn learn_targets(&self, slot: usize, control_vms: &[ControlLocation]) -> Option<SocketAddr> {
+        let now = self.now();
+        let mut targets = self.targets();
+        targets.set_known(now, control_vms);
+        targets.better(now, slot)
+    }
+
+    fn targets(&self) -> MutexGuard<'_, FeedTargets> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Time {
+        Time::ZERO + self.started_at.elapsed()
     }
 }
--- a/tests/cookie_forward.rs
+++ b/tests/cookie_forward.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use galenatrail::{
-    Announcement, DropReason, FeedMessage, FlowVerdict, Forwarder, ResetReason, ServerRecord,
-    ServerState, Time, server_cookie,
+    Announcement, DropReason, FeedMessage, FlowVerdict, Forwarder, PacketInfo, ResetReason,
+    ServerRecord, ServerState, Time, server_cookie,
 };
 
 #[path = "support/cookie.rs"]
@@ -275,3 +275,62 @@
         assert_eq!(id, long, "the cookie belongs to the server that started first");
     }
 }
+
+/// Returns the opening of a flow that starts at the sequence number `sequence`.
+fn opening_at(port: u16, sequence: u32) -> PacketInfo {
+    PacketInfo { sequence, ..opening(1, port) }
+}
+
+#[test]
+fn a_late_packet_of_an_earlier_flow_does_not_take_over_its_port() {
+    let mut forwarder = forwarder(&[announcement(1, "a"), announcement(2, "a")]);
+    let earlier = opening_at(1, 7_000);
+    let (old, old_cookie) = expect_forward(forwarder.decide(at(10), &earlier, false));
+    let late = following(earlier, old_cookie);
+    expect_forward(forwarder.decide(at(20), &late, false));
+    // The next opening takes the other server, which has no flow.
+    let next = opening_at(1, 3_000_000_000);
+    let (new, new_cookie) = expect_forward(forwarder.decide(at(30), &next, false));
+    assert_ne!(old, new, "the test needs two servers");
+    assert_eq!(expect_forward(forwarder.decide(at(40), &late, false)).0, old);
+    for now in [50, 60] {
+        let packet = following(next, new_cookie);
+        assert_eq!(expect_forward(forwarder.decide(at(now), &packet, false)).0, new);
+    }
+}
+
+#[test]
+fn a_vm_that_missed_the_end_of_a_flow_does_not_keep_the_next_one_at_its_server() {
+    let servers = [announcement(1, "a"), announcement(2, "a")];
+    let mut forwarder = forwarder(&servers);
+    let earlier = opening_at(1, 7_000);
+    let (old, old_cookie) = expect_forward(forwarder.decide(at(10), &earlier, false));
+    expect_forward(forwarder.decide(at(20), &following(earlier, old_cookie), false));
+    // The flow ends, and the next one of the port opens, at another VM.
+    let new = 3 - old;
+    let packet = following(opening_at(1, 3_000_000_000), server_cookie(new));
+    assert_eq!(expect_forward(forwarder.decide(at(40), &packet, false)).0, new);
+    assert_eq!(expect_forward(forwarder.decide(at(50), &packet, false)).0, new);
+}
+
+#[test]
+fn a_repeated_opening_does_not_follow_an_earlier_flow_of_its_port() {
+    let mut forwarder = forwarder(&[announcement(1, "a"), announcement(2, "b")]);
+    let earlier = opening_at(1, 7_000);
+    let (_, cookie) = expect_forward(forwarder.decide(at(10), &earlier, false));
+    expect_forward(forwarder.decide(at(20), &following(earlier, cookie), false));
+    forwarder.handle_feed(at(30), control_addr(), FeedMessage::Plan(plan(2, &["a"])));
+    let repeated = PacketInfo { retransmits: 1, ..opening_at(1, 3_000_000_000) };
+    assert_eq!(expect_forward(forwarder.decide(at(40), &repeated, false)).0, 2);
+}
+
+#[test]
+fn sequence_numbers_may_wrap_around_within_a_flow() {
+    let servers = [announcement(1, "a"), announcement(2, "a")];
+    let mut forwarder = forwarder(&servers);
+    let packet = opening_at(1, u32::MAX - 100);
+    let (id, cookie) = expect_forward(forwarder.decide(at(10), &packet, false));
+    expect_forward(forwarder.decide(at(20), &following(packet, cookie), false));
+    let wrapped = PacketInfo { sequence: 900, ..following(packet, server_cookie(3 - id)) };
+    assert_eq!(expect_forward(forwarder.decide(at(30), &wrapped, false)).0, id);
+}
--- a/tests/support/cookie.rs
+++ b/tests/support/cookie.rs
@@ -79,6 +79,8 @@
         caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, host), port),
         route: ROUTE,
         opens: true,
+        sequence: 0,
+        acknowledged: 0,
         retransmits: 0,
         closes: false,
         cookie: 0,
