Send the warm-up that a backend server has left, not that of its first announcement

Cause: a control VM that hears of a server's later announcements by gossip only keeps the record of the first one, and with it the warm-up of some 2 s. The same record hid that a server had turned cold again: 1,990 ms is no more than the remembered 1,996. Change: the registry keeps until when a server is cold and brings the records up to date; encoded records are dropped while a server in them is cold; a server counts as cold again if it has 100 ms more left than known.

--- a/src/cookie/record.rs
+++ b/src/cookie/record.rs
@@ -69,7 +69,8 @@
         (incarnation, self.state == ServerState::Gone, sequence)
     }
 
-    /// Returns whether this record has to be sent to an entry VM that holds `before`.
+    /// Returns whether this record has to be sent to an entry VM that holds `before`, apart from the
+    /// time for which the server is cold.
     pub fn is_change(&self, before: &ServerRecord) -> bool {
         let (new, old) = (&self.announcement, &before.announcement);
         self.state != before.state
@@ -78,7 +79,6 @@
             || new.addr != old.addr
             || new.service != old.service
             || new.zone != old.zone
-            || new.warmup_left > old.warmup_left
     }
 }
 
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -16,6 +16,9 @@
 /// How long the end of a server is remembered: longer than a flow lives or an announcement may be
 /// delayed.
 const GONE_RETENTION: Duration = Duration::from_secs(120);
+/// Difference in the remaining warm-up from which on a server has turned cold again: announcements
+/// are delayed by less.
+const WARMUP_TOLERANCE: Duration = Duration::from_millis(100);
 /// Limit on registered servers, a protection against announcements of invented servers; ten times
 /// the design size of the system.
 const MAX_SERVERS: usize = 70_000;
@@ -36,6 +39,8 @@
 struct Registered {
     record: ServerRecord,
     last_heard: Time,
+    /// When it is warm, as entry VMs know it.
+    cold_until: Time,
     /// What has yet to be sent to other control VMs: a changed record, or only that the server
     /// announced itself.
     pending: Option<UpdateOutcome>,
@@ -79,7 +84,9 @@
             record.silent = false;
             self.record_address(&record);
             let id = record.announcement.id;
-            self.servers.insert(id, Registered { record, last_heard, pending: None });
+            let cold_until = last_heard + record.announcement.warmup_left;
+            let registered = Registered { record, last_heard, cold_until, pending: None };
+            self.servers.insert(id, registered);
         }
         self
     }
@@ -140,13 +147,22 @@
             record.state = ServerState::Gone;
         }
         let before = self.servers.get(&id);
-        let changed = before.is_none_or(|before| record.is_change(&before.record));
+        let warmup_left = record.announcement.warmup_left;
+        let changed = before.is_none_or(|before| {
+            let known = before.cold_until.since(now) + WARMUP_TOLERANCE;
+            warmup_left > known || record.is_change(&before.record)
+        });
+        let cold_until = now + warmup_left;
+        let cold_until = match before {
+            Some(before) if !changed => before.cold_until.min(cold_until),
+            _ => cold_until,
+        };
         let outcome = if changed { UpdateOutcome::Changed } else { UpdateOutcome::Unchanged };
         // A change that has not been sent yet stays pending.
         let unsent = before.and_then(|before| before.pending);
         let unsent = unsent.filter(|pending| *pending == UpdateOutcome::Changed);
         let pending = unsent.or(forward.then_some(outcome));
-        self.servers.insert(id, Registered { record, last_heard: now, pending });
+        self.servers.insert(id, Registered { record, last_heard: now, cold_until, pending });
         outcome
     }
 
@@ -227,10 +243,21 @@
         }
     }
 
+    /// Brings the remaining warm-up of every record up to date.
+    ///
+    /// Only some announcements of a server reach this VM in full; a record that keeps the warm-up of the
+    /// first one would make an entry VM that starts later spare a warm server.
+    fn update_warmups(&mut self, now: Time) {
+        for server in self.servers.values_mut() {
+            server.record.announcement.warmup_left = server.cold_until.since(now);
+        }
+    }
+
     /// Marks servers that have become silent or lost their address, and removes those not heard
     /// from for 120 s. Returns the changed records.
     pub fn tick(&mut self, now: Time) -> Vec<ServerRecord> {
         self.skip_suspension(now);
+        self.update_warmups(now);
         let limit = self.period * SILENT_PERIODS;
         let complete = self.age(now) >= limit;
         let mut changed = Vec::new();
--- a/src/daemon/publish.rs
+++ b/src/daemon/publish.rs
@@ -59,13 +59,17 @@
     /// Servers that are not gone, by availability zone.
     zones: BTreeMap<Name, Vec<EncodedFrame>>,
     gone: Vec<EncodedFrame>,
+    /// Whether a server is cold, for a time that passes.
+    has_cold: bool,
 }
 
 impl ServerFrames {
     fn new<'a>(records: impl Iterator<Item = &'a ServerRecord>) -> ServerFrames {
         let mut zones: BTreeMap<Name, Vec<ServerRecord>> = BTreeMap::new();
         let mut gone = Vec::new();
+        let mut has_cold = false;
         for record in records.cloned() {
+            has_cold |= !record.announcement.warmup_left.is_zero();
             match record.state {
                 ServerState::Gone => gone.push(record),
                 _ => zones.entry(record.announcement.zone.clone()).or_default().push(record),
@@ -74,6 +78,7 @@
         ServerFrames {
             zones: zones.into_iter().map(|(zone, records)| (zone, split(&records))).collect(),
             gone: split(&gone),
+            has_cold,
         }
     }
 
@@ -143,6 +148,11 @@
         open.filter_map(|queue| queue.listen).collect()
     }
 
+    /// Drops the encoded records if one of them says for how long a server is cold.
+    pub(super) fn expire_cold(&mut self) {
+        self.server_frames.take_if(|frames| frames.has_cold);
+    }
+
     /// Drops the subscribers whose feed has ended, and returns the addresses of those that have no
     /// other feed from this VM.
     pub(super) fn take_lost(&mut self) -> Vec<SocketAddr> {
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -273,6 +273,7 @@
             self.gossip_entry_vms(now);
             self.publish_metrics(now);
             let changed = self.registry.tick(now);
+            self.publisher.expire_cold();
             let silent = changed.iter().filter(|record| record.silent).count();
             self.counters.add(Counter::ServersSilent, silent as u64);
             if !changed.is_empty() {
--- a/tests/server_registry.rs
+++ b/tests/server_registry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use galenatrail::{ServerRecord, ServerRegistry, ServerState, Time, UpdateOutcome};
+use galenatrail::{Announcement, ServerRecord, ServerRegistry, ServerState, Time, UpdateOutcome};
 use proptest::prelude::*;
 
 #[path = "support/cookie.rs"]
@@ -180,3 +180,49 @@
         prop_assert_eq!(all(&first), all(&second));
     }
 }
+
+/// Returns a registry that received the first announcement of a cold server in full, at 0 s, and of
+/// the later ones, until 6 s, only that they came.
+fn registry_of_a_warmed_server() -> ServerRegistry {
+    let mut registry = ServerRegistry::new(Time::ZERO, PERIOD);
+    let cold = Announcement { warmup_left: Duration::from_millis(1_996), ..announcement(1, "a") };
+    assert_eq!(registry.announce(at(0), cold), UpdateOutcome::Changed);
+    for sequence in 2..=6 {
+        registry.refresh(at(sequence * 1_000), 1, sequence);
+        registry.tick(at(sequence * 1_000));
+    }
+    registry
+}
+
+#[test]
+fn a_server_that_has_warmed_up_is_not_sent_as_cold() {
+    let registry = registry_of_a_warmed_server();
+    assert_eq!(registry.get(1).unwrap().announcement.warmup_left, Duration::ZERO);
+}
+
+#[test]
+fn a_server_that_turns_cold_again_is_a_change_although_its_first_start_is_remembered() {
+    let mut registry = registry_of_a_warmed_server();
+    let cold = Announcement {
+        warmup_left: Duration::from_millis(1_990),
+        sequence: 7,
+        ..announcement(1, "a")
+    };
+    assert_eq!(registry.announce(at(7_000), cold.clone()), UpdateOutcome::Changed);
+    // The next announcement says the same, with some jitter.
+    let later = Announcement { warmup_left: Duration::from_millis(820), sequence: 8, ..cold };
+    assert_eq!(registry.announce(at(8_200), later), UpdateOutcome::Unchanged);
+    registry.tick(at(8_400));
+    let left = registry.get(1).unwrap().announcement.warmup_left;
+    assert_eq!(left, Duration::from_millis(590));
+}
+
+#[test]
+fn servers_of_a_saved_registry_are_cold_for_what_was_left() {
+    let mut record = ServerRecord::new(announcement(1, "a"));
+    record.announcement.warmup_left = Duration::from_millis(700);
+    let mut registry = ServerRegistry::new(Time::ZERO, PERIOD).with_cached(vec![record]);
+    registry.tick(at(500));
+    let left = registry.get(1).unwrap().announcement.warmup_left;
+    assert_eq!(left, Duration::from_millis(200));
+}
