Log suspects, and split the packet path and its types off

Change: event=suspect with a counter; src/cookie/verdict.rs holds what is read of a packet and decided on it, src/daemon/forward/packets.rs the way of a packet.

--- a/src/cookie.rs
+++ b/src/cookie.rs
@@ -18,6 +18,7 @@
 mod record;
 mod registry;
 mod update_batcher;
+mod verdict;
 
 pub use balance::{Candidate, choose_server};
 pub use directory::{Eligibility, ServerDirectory};
@@ -25,8 +26,9 @@
 pub use explain::{Explanation, ServerAssessment};
 pub use feed::{ControlLocation, FeedCache, FeedMessage, ForwardingPlan, Gossip};
 pub use feed_targets::FeedTargets;
-pub use forwarder::{DropReason, FlowReset, FlowVerdict, Forwarder, PacketInfo, ResetReason};
+pub use forwarder::Forwarder;
 pub use held_packets::{HeldPacket, HeldPackets};
 pub use record::{Announcement, ServerRecord, ServerState, server_cookie};
 pub use registry::{ServerRegistry, UpdateOutcome};
 pub use update_batcher::UpdateBatcher;
+pub use verdict::{DropReason, FlowReset, FlowVerdict, PacketInfo, ResetReason};
--- a/src/cookie/explain.rs
+++ b/src/cookie/explain.rs
@@ -6,7 +6,8 @@
 
 use super::{
     directory::Eligibility,
-    forwarder::{FlowVerdict, Forwarder, PacketInfo},
+    forwarder::Forwarder,
+    verdict::{FlowVerdict, PacketInfo},
 };
 use crate::{name::Name, time::Time};
 
--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -15,8 +15,9 @@
     flow_table::{Endpoints, FlowEntry, FlowTable},
     passive_health::PassiveHealth,
     record::{ServerState, server_cookie},
+    verdict::{DropReason, FlowReset, FlowVerdict, PacketInfo, ResetReason, flow_hash},
 };
-use crate::{member::hash, name::Name, routing_config::Route, time::Time};
+use crate::{name::Name, routing_config::Route, time::Time};
 
 /// Lower bound on the idle time of tracked flows: callers repeat an opening for less.
 const MIN_IDLE: Duration = Duration::from_secs(2);
@@ -29,92 +30,6 @@
 /// Time between two removals of expired state.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
-/// The fields of a packet that the forwarder reads.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PacketInfo {
-    /// Address and port of the caller.
-    pub caller: SocketAddrV4,
-    /// Address and port of the route.
-    pub route: SocketAddrV4,
-    /// Whether the packet opens a flow.
-    pub opens: bool,
-    /// Sequence number of the packet, the same in its copies.
-    pub sequence: u32,
-    /// Sequence number up to which the caller has received the server's data; 0 in an opening.
-    pub acknowledged: u32,
-    /// How many times the opening was sent before.
-    pub retransmits: u32,
-    /// Whether the caller ends the flow with it.
-    pub closes: bool,
-    /// Cookie that the caller echoes, 0 for none.
-    pub cookie: u32,
-}
-
-impl PacketInfo {
-    /// Returns the reset that answers the packet.
-    pub fn reset(&self) -> FlowReset {
-        FlowReset { caller: self.caller, route: self.route, sequence: self.acknowledged }
-    }
-
-    /// Returns a hash of the flow, the same on every VM.
-    pub fn flow_hash(&self) -> u64 {
-        flow_hash(&(self.caller, self.route))
-    }
-}
-
-/// Why a packet was dropped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum DropReason {
-    /// No known server holds its cookie.
-    Unknown,
-    /// It carries no cookie and its flow is not tracked.
-    NoCookie,
-    /// It is an opening that waited while the VM was suspended; the caller no longer waits for it.
-    Stale,
-    /// This VM has just started and has no configuration or servers yet.
-    Early,
-}
-
-/// Why a flow was reset.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ResetReason {
-    /// No route has its address and port.
-    NoRoute,
-    /// No server is eligible.
-    NoServer,
-    /// Its server is gone.
-    ServerGone,
-}
-
-/// What to do with a packet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FlowVerdict {
-    /// Send it to a server.
-    Forward {
-        /// Address at which the server receives packets.
-        to: SocketAddrV4,
-        /// Number of the server.
-        id: u64,
-        /// Cookie of the server.
-        cookie: u32,
-    },
-    /// Reset the flow, so that the caller can open another at once.
-    Reset(ResetReason),
-    /// Drop it.
-    Drop(DropReason),
-}
-
-/// A flow to reset although no packet of it has arrived.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FlowReset {
-    /// Address and port of the caller.
-    pub caller: SocketAddrV4,
-    /// Address and port of the route.
-    pub route: SocketAddrV4,
-    /// Sequence number that the caller expects next.
-    pub sequence: u32,
-}
-
 /// The packet path of an entry VM that forwards by flow cookies.
 pub struct Forwarder {
     zone: Name,
@@ -205,6 +120,11 @@
         }));
     }
 
+    /// Takes the servers that have become suspect, as openings sent to them went unanswered.
+    pub fn take_suspects(&mut self) -> Vec<u64> {
+        self.health.take_suspects()
+    }
+
     /// Takes the flows that have to be reset.
     pub fn take_resets(&mut self) -> Vec<FlowReset> {
         std::mem::take(&mut self.resets)
@@ -481,12 +401,3 @@
         self.directory.tick(now);
     }
 }
-
-fn flow_hash((caller, route): &Endpoints) -> u64 {
-    let mut bytes = [0; 12];
-    bytes[..4].copy_from_slice(&caller.ip().octets());
-    bytes[4..6].copy_from_slice(&caller.port().to_be_bytes());
-    bytes[6..10].copy_from_slice(&route.ip().octets());
-    bytes[10..].copy_from_slice(&route.port().to_be_bytes());
-    hash(&bytes)
-}
--- a/src/cookie/held_packets.rs
+++ b/src/cookie/held_packets.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::forwarder::PacketInfo;
+use super::verdict::PacketInfo;
 use crate::time::Time;
 
 /// Limit on held packets, some 300 KB; a VM receives half of it in the time for which a packet is
--- a/src/cookie/passive_health.rs
+++ b/src/cookie/passive_health.rs
@@ -41,6 +41,8 @@
 pub(crate) struct PassiveHealth {
     pending: VecDeque<PendingOpening>,
     failures: BTreeMap<u64, Failures>,
+    /// Servers that have become suspect since they were last taken.
+    suspects: Vec<u64>,
 }
 
 impl PassiveHealth {
@@ -63,6 +65,11 @@
         self.failures.get(&id).is_some_and(|f| f.count >= FAILURE_THRESHOLD && recent(f))
     }
 
+    /// Takes the servers that have become suspect since the last call.
+    pub(crate) fn take_suspects(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.suspects)
+    }
+
     /// Returns whether another opening of `caller` is pending at server `id`: the server may have
     /// reset the caller, which now retries from another port.
     pub(crate) fn has_pending(&self, caller: Ipv4Addr, id: u64) -> bool {
@@ -78,6 +85,9 @@
             let failures = self.failures.entry(first.id).or_default();
             failures.count += 1;
             failures.last = now;
+            if failures.count == FAILURE_THRESHOLD {
+                self.suspects.push(first.id);
+            }
             self.pending.pop_front();
         }
         self.failures.retain(|_, failures| now.since(failures.last) < SUSPECT_DURATION);
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -1,7 +1,7 @@
 //! Event loop of an entry VM that forwards packets by flow cookies.
 
 use std::{
-    net::{SocketAddr, SocketAddrV4},
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -13,17 +13,15 @@
     time::{Instant, MissedTickBehavior, interval, sleep},
 };
 
+mod packets;
+
 use super::{
-    metrics::{self, Gauge, Latency, Metrics},
+    metrics::{self, Gauge, Metrics},
     presence,
     subscribe::{FeedClient, FeedEvent},
-    udp,
 };
 use crate::{
-    cookie::{
-        DropReason, FeedMessage, FeedTargets, FlowReset, FlowVerdict, Forwarder, HeldPackets,
-        PacketInfo, ResetReason,
-    },
+    cookie::{FeedMessage, FeedTargets, FlowReset, Forwarder, HeldPackets, PacketInfo},
     counter::{Counter, Counters},
     error::{Error, Result},
     name::Name,
@@ -36,8 +34,6 @@
 const QUEUE_LEN: usize = 64;
 /// Tick interval.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
-/// Gap between wake-ups after which waiting packets count as stale: two ticks.
-const STALE_GAP: Duration = Duration::from_millis(500);
 /// Time after which a VM that has no confirmation from a quorum serves the plan that it has; a
 /// reachable control VM has answered by then.
 const CONFIRM_WAIT: Duration = Duration::from_millis(600);
@@ -46,9 +42,6 @@
 /// Most log lines on single packets per tick; 40 lines a second take less than a thousandth of a
 /// small core.
 const MAX_PACKET_LINES: u32 = 10;
-/// One flow in this many is logged, the same one on every VM; at 300 new flows a second, this is
-/// about one line a second.
-const FLOW_SAMPLING: u64 = 256;
 /// Time for which a VM keeps forwarding during shutdown: two readiness probes of the fabric, half a
 /// second apart, and packets in flight.
 const DRAIN_TIME: Duration = Duration::from_millis(1_800);
@@ -136,8 +129,8 @@
     let targets = FeedTargets::new(settings.name.clone(), settings.zone.clone());
     let (targets, hint) = (Arc::new(Mutex::new(targets)), Arc::new(Notify::new()));
     let started_at = Instant::now();
-    let socket_presence = presence::bind(settings.listen).await?;
-    tokio::spawn(presence::receive(socket_presence, targets.clone(), hint.clone(), started_at));
+    let presence_socket = presence::bind(settings.listen).await?;
+    tokio::spawn(presence::receive(presence_socket, targets.clone(), hint.clone(), started_at));
     let feeds = FeedClient {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
@@ -237,132 +230,6 @@
         }
     }
 
-    fn receive_packets(&mut self, buf: &mut [u8]) -> std::io::Result<()> {
-        let now = now();
-        let stale = now.since(self.last_wake) >= STALE_GAP;
-        let socket = self.socket.clone();
-        let is_empty =
-            udp::receive_batch(&socket, buf, |packet, _| self.handle_packet(now, packet, stale))?;
-        if is_empty || !stale {
-            // Until the socket is empty, later packets are as old as the first ones.
-            self.last_wake = now;
-        }
-        if let Some(metrics) = &self.metrics {
-            metrics.record(Latency::Batch, self::now().since(now));
-        }
-        Ok(())
-    }
-
-    fn handle_packet(&mut self, now: Time, packet: &[u8], stale: bool) {
-        let Some(info) = self.codec.decode(packet) else {
-            self.count(Counter::PacketsMalformed);
-            return;
-        };
-        if !stale && self.forwarder.awaits_feed(now, &info) {
-            self.count(Counter::PacketsHeld);
-            if let Some(oldest) = self.held.push(now, info, packet) {
-                self.forward_packet(now, &oldest.info, &oldest.bytes, false);
-            }
-            return;
-        }
-        self.forward_packet(now, &info, packet, stale);
-    }
-
-    /// Forwards the held packets that the VM now knows enough for or whose callers send them again.
-    fn release_held(&mut self) {
-        if self.held.is_empty() {
-            return;
-        }
-        let now = now();
-        let forwarder = &self.forwarder;
-        let released = self.held.take(now, |info| !forwarder.awaits_feed(now, info));
-        if released.is_empty() {
-            return;
-        }
-        let expired = released.iter().filter(|held| held.expiry <= now).count();
-        log::info!(
-            "event=released packets={} expired={expired} left={} plan={} servers={}",
-            released.len(),
-            self.held.len(),
-            forwarder.plan().index,
-            forwarder.directory().len()
-        );
-        for held in released {
-            self.forward_packet(now, &held.info, &held.bytes, false);
-        }
-    }
-
-    fn forward_packet(&mut self, now: Time, info: &PacketInfo, packet: &[u8], stale: bool) {
-        self.out.clear();
-        match self.forwarder.decide(now, info, stale) {
-            FlowVerdict::Forward { to, id, cookie } => {
-                self.codec.write_forward(packet, id, cookie, &mut self.out);
-                self.count(Counter::PacketsForwarded);
-                if info.opens {
-                    let retransmitted = info.retransmits > 0;
-                    self.count(if retransmitted {
-                        Counter::FlowsRepeated
-                    } else {
-                        Counter::FlowsOpened
-                    });
-                    if info.flow_hash().is_multiple_of(FLOW_SAMPLING) {
-                        self.log_packet(info, format_args!("event=placed server={id:x}"));
-                    }
-                }
-                self.send(SocketAddr::V4(to));
-            }
-            FlowVerdict::Reset(reason) => {
-                self.count(reset_counter(reason));
-                self.log_packet(info, format_args!("event=reset reason={reason:?}"));
-                self.send_reset(&info.reset());
-            }
-            FlowVerdict::Drop(reason) => {
-                self.count(drop_counter(reason));
-                self.log_packet(info, format_args!("event=drop reason={reason:?}"));
-            }
-        }
-    }
-
-    /// Resets the flows whose servers have turned out to be gone.
-    fn send_resets(&mut self) {
-        let resets = self.forwarder.take_resets();
-        if resets.is_empty() {
-            return;
-        }
-        log::info!("event=flows_reset reason=superseded flows={}", resets.len());
-        for reset in resets {
-            self.count(Counter::FlowsResetSuperseded);
-            self.send_reset(&reset);
-        }
-    }
-
-    fn send_reset(&mut self, reset: &FlowReset) {
-        self.out.clear();
-        self.codec.write_reset(reset, &mut self.out);
-        self.send(SocketAddr::V4(SocketAddrV4::new(*reset.caller.ip(), self.port)));
-    }
-
-    fn send(&mut self, to: SocketAddr) {
-        if !udp::send(&self.socket, &self.out, to) {
-            self.count(Counter::DatagramsUnsent);
-        }
-    }
-
-    /// Logs `event` with the fields of a packet, at most [`MAX_PACKET_LINES`] times per tick.
-    fn log_packet(&mut self, info: &PacketInfo, event: std::fmt::Arguments<'_>) {
-        if self.packet_lines >= MAX_PACKET_LINES {
-            self.count(Counter::LinesSuppressed);
-            return;
-        }
-        self.packet_lines += 1;
-        let PacketInfo { caller, route, opens, retransmits, cookie, .. } = info;
-        let index = self.forwarder.plan().index;
-        log::info!(
-            "{event} caller={caller} route={route} opens={opens} repeats={retransmits} \
-             cookie={cookie:08x} plan={index}"
-        );
-    }
-
     fn handle_feed(&mut self, event: FeedEvent) {
         let now = now();
         match event {
@@ -400,6 +267,15 @@
         }
     }
 
+    fn log_suspects(&mut self) {
+        let suspects = self.forwarder.take_suspects();
+        let lines = suspects.iter().take(MAX_PACKET_LINES as usize);
+        lines.for_each(|id| log::info!("event=suspect server={id:x}"));
+        let suppressed = suspects.len().saturating_sub(MAX_PACKET_LINES as usize);
+        self.counters.add(Counter::LinesSuppressed, suppressed as u64);
+        self.counters.add(Counter::ServersUnanswered, suspects.len() as u64);
+    }
+
     fn count(&mut self, counter: Counter) {
         self.counters.add(counter, 1);
     }
@@ -428,6 +304,7 @@
         let now = now();
         self.forwarder.tick(now);
         self.packet_lines = 0;
+        self.log_suspects();
         self.publish_metrics(now);
         if now.since(self.last_report) >= COUNTS_INTERVAL {
             self.last_report = now;
@@ -435,20 +312,3 @@
         }
     }
 }
-
-fn reset_counter(reason: ResetReason) -> Counter {
-    match reason {
-        ResetReason::NoRoute => Counter::FlowsResetUnrouted,
-        ResetReason::NoServer => Counter::FlowsResetUnserved,
-        ResetReason::ServerGone => Counter::FlowsResetGone,
-    }
-}
-
-fn drop_counter(reason: DropReason) -> Counter {
-    match reason {
-        DropReason::Unknown => Counter::PacketsUntagged,
-        DropReason::NoCookie => Counter::PacketsUncookied,
-        DropReason::Stale => Counter::PacketsStale,
-        DropReason::Early => Counter::PacketsEarly,
-    }
-}
