Bound the lines on released packets, and log a presence socket that fails

Cause: each expiry of a held packet logged a line, some hundred in the first second after a start; a receive error of the presence socket was retried at once and unlogged. Change: the lines share the budget of lines on packets; the error is logged and retried after a second; wording of comments.

--- a/src/cookie/feed_targets.rs
+++ b/src/cookie/feed_targets.rs
@@ -10,7 +10,7 @@
 /// Time for which a control VM whose feed has failed is tried after all others, and for which feed
 /// 0 does not leave another one for it: a VM that accepts connections may still be suspended.
 const AVOID_DURATION: Duration = Duration::from_secs(5);
-/// Time for which a control VM that has told of its start is tried before all others.
+/// Time for which a control VM that has told that it is up is tried before all others.
 const HINT_DURATION: Duration = Duration::from_secs(2);
 /// Limit on such control VMs at the same time, some more than the largest system has.
 const MAX_HINTS: usize = 32;
@@ -30,7 +30,7 @@
     in_use: [Option<SocketAddr>; FEEDS],
     /// Until when a control VM is avoided.
     avoided: BTreeMap<SocketAddr, Time>,
-    /// Until when a control VM that has told of its start is tried first.
+    /// Until when a control VM that has told that it is up is tried first.
     hinted: BTreeMap<SocketAddr, Time>,
 }
 
@@ -49,8 +49,8 @@
 
     /// Returns the control VMs that feed `slot` may use, in the order in which to try them.
     ///
-    /// Feed 0 prefers control VMs in its own availability zone. Control VMs that have just told of
-    /// their start come first, those whose feed has failed recently last.
+    /// Feed 0 prefers control VMs in its own availability zone. Control VMs that have just told
+    /// that they are up come first, those whose feed has failed recently last.
     pub fn candidates(&self, now: Time, slot: usize, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
         let other = self.in_use[1 - slot];
         let known = self.zones.keys().chain(self.hinted.keys()).copied();
@@ -88,7 +88,7 @@
         self.avoided.insert(target, now + AVOID_DURATION);
     }
 
-    /// Adds a control VM that has told of its start; returns whether it was not known to be up.
+    /// Adds a control VM that has told that it is up; returns whether it had not done so lately.
     pub fn add_hint(&mut self, now: Time, location: ControlLocation) -> bool {
         self.hinted.retain(|_, until| *until > now);
         if self.hinted.len() >= MAX_HINTS {
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -70,7 +70,7 @@
     pub zone: Name,
     /// Address on which packets from callers arrive (UDP).
     pub packets: SocketAddr,
-    /// Address on which control VMs tell of their start (UDP).
+    /// Address on which control VMs tell that they are up (UDP).
     pub listen: SocketAddr,
     /// Addresses of the control VMs to contact first.
     pub seeds: Vec<SocketAddr>,
--- a/src/daemon/forward/packets.rs
+++ b/src/daemon/forward/packets.rs
@@ -7,7 +7,7 @@
 
 use super::{EventLoop, MAX_PACKET_LINES, PacketCodec, now};
 use crate::{
-    cookie::{DropReason, FlowReset, FlowVerdict, PacketInfo, ResetReason},
+    cookie::{DropReason, FlowReset, FlowVerdict, HeldPacket, PacketInfo, ResetReason},
     counter::Counter,
     daemon::{metrics::Latency, udp},
     time::Time,
@@ -62,17 +62,26 @@
         if released.is_empty() {
             return;
         }
+        self.log_released(now, &released);
+        for held in released {
+            self.forward_packet(now, &held.info, &held.bytes, false);
+        }
+    }
+
+    fn log_released(&mut self, now: Time, released: &[HeldPacket]) {
+        if self.packet_lines >= MAX_PACKET_LINES {
+            self.count(Counter::LinesSuppressed);
+            return;
+        }
+        self.packet_lines += 1;
         let expired = released.iter().filter(|held| held.expiry <= now).count();
         log::info!(
             "event=released packets={} expired={expired} left={} plan={} servers={}",
             released.len(),
             self.held.len(),
-            forwarder.plan().index,
-            forwarder.directory().len()
+            self.forwarder.plan().index,
+            self.forwarder.directory().len()
         );
-        for held in released {
-            self.forward_packet(now, &held.info, &held.bytes, false);
-        }
     }
 
     fn forward_packet(&mut self, now: Time, info: &PacketInfo, packet: &[u8], stale: bool) {
--- a/src/daemon/presence.rs
+++ b/src/daemon/presence.rs
@@ -1,11 +1,16 @@
-//! Datagrams by which a control VM that has started tells entry VMs that it is up.
+//! Datagrams by which a control VM tells entry VMs without a feed that it is up.
 
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
-use tokio::{net::UdpSocket, sync::Notify, time::Instant};
+use tokio::{
+    net::UdpSocket,
+    sync::Notify,
+    time::{Instant, sleep},
+};
 
 use super::udp;
 use crate::{
@@ -16,6 +21,8 @@
 
 /// Receive buffer, in bytes; a location takes some 30.
 const BUF_LEN: usize = 256;
+/// Delay before the next attempt to receive when the socket fails.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Opens the socket for presence datagrams.
 ///
@@ -44,8 +51,14 @@
 ) {
     let mut buf = [0; BUF_LEN];
     loop {
-        // An error reports that an earlier datagram was refused; this socket sends none.
-        let Ok((len, from)) = socket.recv_from(&mut buf).await else { continue };
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(err) => {
+                log::warn!("event=presence_failed reason={:?}", err.to_string());
+                sleep(RETRY_DELAY).await;
+                continue;
+            }
+        };
         let Ok(location) = postcard::from_bytes::<ControlLocation>(&buf[..len]) else {
             log::info!("event=presence_malformed from={from} bytes={len}");
             continue;
--- a/src/daemon/subscribe.rs
+++ b/src/daemon/subscribe.rs
@@ -58,7 +58,7 @@
     pub(super) index: watch::Receiver<u64>,
     pub(super) events: mpsc::Sender<FeedEvent>,
     pub(super) targets: Arc<Mutex<FeedTargets>>,
-    /// Notified when a control VM has told of its start.
+    /// Notified when a control VM has told that it is up.
     pub(super) hint: Arc<Notify>,
     pub(super) started_at: Instant,
 }
