--- a/src/daemon/forward/packets.rs
+++ b/src/daemon/forward/packets.rs
@@ -115,7 +115,7 @@
         }
     }
 
-    /// Resets the flows whose servers have turned out to be gone.
+    /// Sends the resets of flows of superseded servers.
     pub(super) fn send_resets(&mut self) {
         let resets = self.forwarder.take_resets();
         if resets.is_empty() {
