Tell refusals from answers by length, also if they are acknowledged late

Cause: a response counted as a refusal if it took less than a third of the usual time.

Change: a short length counts as refusals if at least half of its responses take less than 0.6 of the usual time, unless it makes up 5% or more of the responses of servers that are not busy.

The new test refusals_acknowledged_late_are_refusals fails without the change.

--- a/src/cookie/server_load.rs
+++ b/src/cookie/server_load.rs
@@ -20,8 +20,10 @@
 const LOWER_WEIGHT: f32 = 1.0 / 32.0;
 /// Weight of the time of a refusal: not zero, so that a usual time that is far too long heals.
 const REFUSAL_WEIGHT: f32 = 1.0 / 256.0;
-/// Part of the usual response time below which an answer is early. Service times mostly vary by less.
-const EARLY_PART: f32 = 1.0 / 3.0;
+/// Part of the usual response time below which an answer is early. A caller may acknowledge a response
+/// of one packet up to 40 ms late, so that refusals of a full server take up to half of the time of
+/// its answers.
+const EARLY_PART: f32 = 0.6;
 /// Multiple of the median response time from which on an answer is slow.
 const SLOW_MULTIPLE: f32 = 4.0;
 /// Part by which the median response time moves towards each response time.
@@ -33,9 +35,23 @@
 const MIN_RESPONSES: u16 = 8;
 /// Responses of a length from which on their counts are halved.
 const MAX_RESPONSES: u16 = 64;
-/// Share of early ones among the responses of a length from which on these are refusals. Refusals
-/// are always early and of one length; other short responses are at times early.
-const REFUSAL_SHARE: f32 = 0.9;
+/// Share of early ones among the responses of a length from which on these are refusals. Some servers
+/// refuse a request after it has waited.
+const REFUSAL_SHARE: f32 = 0.5;
+/// Ratio of the usual response time to its lowest value up to which servers are not busy.
+const IDLE_RATIO: f32 = 1.5;
+/// Share of a length among the responses of servers that are not busy from which on it is no refusal;
+/// 2% are refused then, as VMs select servers independently.
+const ANSWER_SHARE: f32 = 0.05;
+/// Responses after which the usual response time counts as an average.
+const MIN_AVERAGED: u16 = 32;
+/// Responses of servers that are not busy that have to be known before a length counts as an answer.
+const MIN_IDLE_RESPONSES: u16 = 64;
+/// Responses of servers that are not busy from which on their counts are halved.
+const MAX_IDLE_RESPONSES: u16 = 1_024;
+/// Part by which the lowest usual response time rises with each response, so that a service that has
+/// become slower for good is not taken for a busy one.
+const LOWEST_RISE: f32 = 1e-5;
 /// Time constant of a server's share of failures.
 const FAILURE_WINDOW: Duration = Duration::from_secs(4);
 /// Time without an outcome after which a server's averages are forgotten.
@@ -87,6 +103,8 @@
 struct Responses {
     count: u16,
     early: u16,
+    /// Responses of servers that were not busy.
+    idle: u16,
 }
 
 impl Responses {
@@ -98,9 +116,13 @@
         self.early += u16::from(early);
     }
 
-    fn are_refusals(&self) -> bool {
-        let share = f32::from(self.early) / f32::from(self.count.max(1));
-        self.count >= MIN_RESPONSES && share >= REFUSAL_SHARE
+    /// Returns whether these are refusals: mostly early, and seldom among the responses of servers
+    /// that are not busy, of which there were `idle`.
+    fn are_refusals(&self, idle: u16) -> bool {
+        let early = f32::from(self.early) / f32::from(self.count.max(1));
+        let is_answer =
+            idle >= MIN_IDLE_RESPONSES && f32::from(self.idle) >= f32::from(idle) * ANSWER_SHARE;
+        self.count >= MIN_RESPONSES && early >= REFUSAL_SHARE && !is_answer
     }
 }
 
@@ -112,8 +134,14 @@
     /// Estimate of the median response time, in microseconds, on which a few slow servers have no
     /// influence.
     median: f32,
+    /// Lowest usual response time, in microseconds.
+    lowest: f32,
+    /// Responses in the usual response time, up to [`MIN_AVERAGED`].
+    averaged: u16,
     /// Short responses by length.
     short: [Responses; LENGTHS],
+    /// Responses of all lengths of servers that were not busy.
+    idle: u16,
 }
 
 impl Service {
@@ -121,10 +149,15 @@
     fn classify(&mut self, after: Duration, length: u32) -> (RequestOutcome, bool) {
         let micros = after.as_micros() as f32;
         let early = micros < self.usual * EARLY_PART;
+        let idle = self.record_usual();
+        if idle {
+            self.record_idle();
+        }
         let short = self.short.get_mut((length / LENGTH_STEP) as usize);
         let refused = short.is_some_and(|responses| {
             responses.record(early);
-            early && responses.are_refusals()
+            responses.idle += u16::from(idle);
+            responses.are_refusals(self.idle)
         });
         let weight = match refused {
             true => REFUSAL_WEIGHT,
@@ -140,6 +173,26 @@
         self.median *= 1.0 + step;
         (RequestOutcome::Answered(after), slow)
     }
+
+    /// Updates the lowest usual response time; returns whether the servers are not busy.
+    fn record_usual(&mut self) -> bool {
+        if self.averaged < MIN_AVERAGED {
+            self.averaged += 1;
+            self.lowest = self.usual;
+            return false;
+        }
+        self.lowest = (self.lowest * (1.0 + LOWEST_RISE)).min(self.usual);
+        self.usual < self.lowest * IDLE_RATIO
+    }
+
+    /// Counts a response of a server that is not busy.
+    fn record_idle(&mut self) {
+        if self.idle >= MAX_IDLE_RESPONSES {
+            self.idle /= 2;
+            self.short.iter_mut().for_each(|responses| responses.idle /= 2);
+        }
+        self.idle += 1;
+    }
 }
 
 /// The load of backend servers by cookie.
@@ -263,7 +316,9 @@
         if !self.services.contains_key(service) {
             let usual = after.as_micros() as f32;
             let short = [Responses::default(); LENGTHS];
-            let service_times = Service { usual, median: usual.max(1.0), short };
+            let median = usual.max(1.0);
+            let service_times =
+                Service { usual, median, lowest: usual, averaged: 0, short, idle: 0 };
             self.services.insert(service.clone(), service_times);
         }
         self.services.get_mut(service).expect("the service was just inserted")
--- a/tests/server_load.rs
+++ b/tests/server_load.rs
@@ -129,6 +129,39 @@
     assert!(load.mean_time(1).unwrap() >= Duration::from_millis(20));
 }
 
+/// Guards against refusals that pass for answers, as callers acknowledge a short response up to 40 ms late.
+#[test]
+fn refusals_acknowledged_late_are_refusals() {
+    let mut callers = Callers::new(1);
+    callers.run(1_000..3_000, |_, _| Reply::Answered(24));
+    let mut flows = 0;
+    callers.run(3_000..23_000, |_, _| {
+        flows += 1;
+        match flows % 10 {
+            0..4 => Reply::RefusedLate(5 + flows * 7 % 41),
+            _ => Reply::Answered(100),
+        }
+    });
+    let load = callers.forwarder.load();
+    let failures = load.failure_share(at(23_000), 1);
+    assert!((0.35..=0.45).contains(&failures), "{failures}");
+    assert!(load.mean_time(1).unwrap() >= Duration::from_millis(80));
+}
+
+/// Guards against quick answers of a constant length that pass for refusals, also under load.
+#[test]
+fn quick_answers_known_from_idle_servers_are_no_refusals() {
+    let mut callers = Callers::new(1);
+    let mut flows = 0;
+    let mut mixed = |short: u64, long: u64| {
+        flows += 1;
+        if flows % 3 == 0 { Reply::Short(short) } else { Reply::Answered(long) }
+    };
+    callers.run(1_000..9_000, |_, _| mixed(8, 24));
+    callers.run(9_000..20_000, |_, _| mixed(40, 110));
+    assert!(callers.forwarder.load().failure_share(at(20_000), 1) < 0.01);
+}
+
 /// Guards against answers to light requests that pass for refusals.
 #[test]
 fn short_responses_at_all_times_are_answers() {
--- a/tests/support/callers.rs
+++ b/tests/support/callers.rs
@@ -18,6 +18,7 @@
 const REQUEST_LEN: u16 = 400;
 const RESPONSE_LEN: u32 = 3_000;
 const REFUSAL_LEN: u32 = 120;
+const SHORT_LEN: u32 = 240;
 
 /// What a server does with a flow.
 #[derive(Debug, Clone, Copy)]
@@ -30,6 +31,10 @@
     Answered(u64),
     /// It refuses the request at once.
     Refused,
+    /// It refuses the request, and the caller acknowledges that after these milliseconds.
+    RefusedLate(u64),
+    /// It answers with a short response of constant length, acknowledged after these milliseconds.
+    Short(u64),
     /// It takes the request and does not answer; the caller gives up after 600 ms.
     Hung,
     /// It takes no data; the caller repeats the request after 200 ms and gives up after 600 ms.
@@ -111,6 +116,10 @@
                 let end = PacketInfo { acknowledged: 1 + REFUSAL_LEN, ..end };
                 send(2 * HANDSHAKE_MS + 1, end);
             }
+            Reply::RefusedLate(after) | Reply::Short(after) => {
+                let length = if matches!(reply, Reply::Short(_)) { SHORT_LEN } else { REFUSAL_LEN };
+                send(2 * HANDSHAKE_MS + after, PacketInfo { acknowledged: 1 + length, ..end });
+            }
             Reply::Mute => {
                 send(HANDSHAKE_MS + 200, request);
                 send(HANDSHAKE_MS + 600, end);
