Keep fair shares and their hold by service

Cause: for 500 ms after any refusal, callers above their share were refused for all services, and openings of all services counted in one table.

Change: Admission keeps a table and the time of the last refusal by service. A shortage of the link still holds for all services.

--- a/src/cookie/admission.rs
+++ b/src/cookie/admission.rs
@@ -9,7 +9,7 @@
     reset_delivery::ResetDelivery,
     verdict::{PacketInfo, Resource},
 };
-use crate::{routing_config::Route, time::Time};
+use crate::{name::Name, routing_config::Route, time::Time};
 
 /// Time since the last refusal for want of a resource in which callers above their fair share are refused:
 /// without it, the largest callers take what becomes free between two refusals.
@@ -46,6 +46,14 @@
     refused: u64,
 }
 
+/// The fair shares of a service's callers.
+#[derive(Debug, Clone, Default)]
+struct ServiceShare {
+    share: FairShare,
+    /// When an opening was last refused because the service is short.
+    last_refusal: Option<Time>,
+}
+
 /// Admission control for openings.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Admission {
@@ -53,9 +61,10 @@
     pub(crate) link: LinkBudget,
     refused: RefusedFlows,
     delivery: ResetDelivery,
-    share: FairShare,
-    /// When an opening was last refused for want of a resource.
-    last_refusal: Option<Time>,
+    /// Shares and shortages by service: a shortage of one says nothing about another.
+    services: BTreeMap<Name, ServiceShare>,
+    /// When an opening was last refused for want of room on the link.
+    link_refusal: Option<Time>,
     shortages: BTreeMap<Resource, Shortage>,
     changes: Vec<ShortageChange>,
 }
@@ -75,7 +84,13 @@
     ///
     /// A copy is refused only if this VM has refused the opening: otherwise an earlier copy may have
     /// reached a server through another VM.
-    pub(crate) fn decide(&mut self, now: Time, opening: &PacketInfo, priority: u8) -> Verdict {
+    pub(crate) fn decide(
+        &mut self,
+        now: Time,
+        opening: &PacketInfo,
+        priority: u8,
+        service: &Name,
+    ) -> Verdict {
         if opening.retransmits > 0 {
             return match self.refused.get(now, opening) {
                 Some(resource) => {
@@ -88,27 +103,44 @@
         }
         self.delivery.record_opening(now);
         let caller = *opening.caller.ip();
-        self.share.observe(now, priority, caller);
+        self.service(service).share.observe(now, priority, caller);
         if !self.link.has_room(now, &opening.route) {
-            self.last_refusal = Some(now);
+            self.link_refusal = Some(now);
             return self.refuse(now, opening, Resource::Link);
         }
-        let is_short = self.last_refusal.is_some_and(|last| now.since(last) < SHARE_HOLD);
-        if is_short && self.share.exceeds(now, priority, caller) {
+        let link_refusal = self.link_refusal;
+        let service = self.service(service);
+        let is_recent = |refusal: Time| now.since(refusal) < SHARE_HOLD;
+        let is_short = [link_refusal, service.last_refusal].into_iter().flatten().any(is_recent);
+        if is_short && service.share.exceeds(now, priority, caller) {
             return self.refuse(now, opening, Resource::Share);
         }
         Verdict::Admit
     }
 
+    /// Returns the shares of a service's callers.
+    fn service(&mut self, service: &Name) -> &mut ServiceShare {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), ServiceShare::default());
+        }
+        self.services.get_mut(service).expect("the service was just inserted")
+    }
+
     /// Records that an opening was admitted.
-    pub(crate) fn record_admitted(&mut self, now: Time, opening: &PacketInfo, priority: u8) {
-        self.share.record(now, priority, *opening.caller.ip());
+    pub(crate) fn record_admitted(
+        &mut self,
+        now: Time,
+        opening: &PacketInfo,
+        priority: u8,
+        service: &Name,
+    ) {
+        self.service(service).share.record(now, priority, *opening.caller.ip());
     }
 
     /// Records an opening that was refused because its service is short, so that its copies are
     /// refused.
-    pub(crate) fn record_refused(&mut self, now: Time, opening: &PacketInfo) {
-        self.last_refusal = Some(now);
+    pub(crate) fn record_refused(&mut self, now: Time, opening: &PacketInfo, service: &Name) {
+        self.service(service).last_refusal = Some(now);
         self.refused.insert(now, opening, Resource::Service);
     }
 
--- a/src/cookie/forwarder/opening.rs
+++ b/src/cookie/forwarder/opening.rs
@@ -19,9 +19,13 @@
         self.apply_outcomes(now);
         self.update_pool(now);
         let endpoints = (packet.caller, packet.route);
-        let Some(priority) = self.routes.get(&packet.route).map(|route| route.priority) else {
+        let Some(route) = self.routes.get(&packet.route) else {
             return FlowVerdict::Reset(ResetReason::NoRoute);
         };
+        let (priority, service) = (route.priority, services(route, packet.flow_hash()).next());
+        let Some(service) = service.cloned() else {
+            return FlowVerdict::Reset(ResetReason::NoServer);
+        };
         let known = self.flows.get(&endpoints, packet.sequence);
         let is_new = known.is_none() && packet.retransmits == 0;
         let first = known.filter(|_| packet.retransmits > 0);
@@ -31,7 +35,7 @@
             return verdict;
         }
         if known.is_none() {
-            match self.admission.decide(now, packet, priority) {
+            match self.admission.decide(now, packet, priority, &service) {
                 Verdict::Admit => {}
                 Verdict::Refuse(resource) => {
                     return FlowVerdict::Reset(ResetReason::Overload(resource));
@@ -45,11 +49,11 @@
         };
         let cookie = server_cookie(id);
         if is_new && !self.has_room(now, packet, cookie) {
-            self.admission.record_refused(now, packet);
+            self.admission.record_refused(now, packet, &service);
             return FlowVerdict::Reset(ResetReason::Overload(Resource::Service));
         }
         if is_new {
-            self.admission.record_admitted(now, packet, priority);
+            self.admission.record_admitted(now, packet, priority, &service);
         }
         let mut link = match known {
             Some(entry) => entry.link,
