Allow for the few results behind a share in the test of late refusals

Cause: the test's servers refuse 40% whatever comes, so that the limit lets in some four flows a second; the share of the last 4 s rests on 16 results and was 0.317 after fair shares had changed which flows these are.

Change: the bound is 0.4 with the deviation of 16 results, 0.25 to 0.55.

--- a/tests/server_load.rs
+++ b/tests/server_load.rs
@@ -144,7 +144,8 @@
     });
     let load = callers.forwarder.load();
     let failures = load.failure_share(at(23_000), 1);
-    assert!((0.35..=0.45).contains(&failures), "{failures}");
+    // 40%, by some 16 results: most openings are refused by then.
+    assert!((0.25..=0.55).contains(&failures), "{failures}");
     assert!(load.mean_time(1).unwrap() >= Duration::from_millis(80));
 }
 
