Limit each availability zone of a service, and send the rest where there is room

Cause: a service had one limit for all zones.

Change: ServiceRoom keeps a limit by service and zone, and an opening that a zone has no room for goes to another zone of which this VM sees no shortage. Lines of event=short name the zone.

--- a/src/cookie.rs
+++ b/src/cookie.rs
@@ -58,7 +58,7 @@
 pub use registry::{ServerRegistry, UpdateOutcome};
 pub use server_load::{RequestOutcome, ServerLoad};
 pub use server_pool::{OwnLoad, ServerPool, ServerView};
-pub use service_room::{ServiceRoom, ShortChange};
+pub use service_room::{Place, ServiceRoom, ShortChange};
 pub use update_batcher::UpdateBatcher;
 pub use verdict::{DropReason, FlowReset, FlowVerdict, PacketInfo, ResetReason, Resource};
 pub use zone_share::ZoneShare;
--- a/src/cookie/forwarder/opening.rs
+++ b/src/cookie/forwarder/opening.rs
@@ -6,13 +6,13 @@
         exchange::Exchange,
         flow_table::{Endpoints, FlowEntry},
         link_budget::FlowBytes,
-        record::{ServerState, server_cookie},
+        record::{Announcement, ServerState, server_cookie},
         server_view::{View, services},
         verdict::{DropReason, FlowVerdict, PacketInfo, ResetReason, Resource, flow_hash},
     },
     Forwarder, RETRY_AGE, STARTUP_GRACE,
 };
-use crate::time::Time;
+use crate::{name::Name, time::Time};
 
 impl Forwarder {
     pub(super) fn decide_opening(&mut self, now: Time, packet: &PacketInfo) -> FlowVerdict {
@@ -47,11 +47,13 @@
         let Some(id) = self.select_server(now, &endpoints, avoid) else {
             return self.decide_unserved(now, &endpoints);
         };
-        let cookie = server_cookie(id);
-        if is_new && !self.has_room(now, packet, cookie) {
+        let with_room =
+            if is_new { self.find_room(now, &endpoints, priority, id) } else { Some(id) };
+        let Some(id) = with_room else {
             self.admission.record_refused(now, packet, &service);
             return FlowVerdict::Reset(ResetReason::Overload(Resource::Service));
-        }
+        };
+        let cookie = server_cookie(id);
         if is_new {
             self.admission.record_admitted(now, packet, priority, &service);
         }
@@ -133,18 +135,9 @@
     ) -> Option<u64> {
         let Forwarder { routes, pool, directory, health, flows, load, plan, .. } = self;
         let hash = flow_hash(endpoints);
-        let view = View {
-            now,
-            endpoints,
-            hash,
-            avoid,
-            silent: false,
-            directory,
-            health,
-            flows,
-            load,
-            plan,
-        };
+        let silent = false;
+        let view =
+            View { now, endpoints, hash, avoid, silent, directory, health, flows, load, plan };
         // The services are selected by the lower bits.
         let point = (hash >> 32) as u32;
         let services = services(routes.get(&endpoints.1)?, hash);
@@ -160,4 +153,30 @@
             })
         })
     }
+
+    /// Returns a server with room for a new flow: `id`, or one of another zone if the servers in
+    /// that one's zone are short of capacity.
+    fn find_room(
+        &mut self,
+        now: Time,
+        endpoints: &Endpoints,
+        priority: u8,
+        id: u64,
+    ) -> Option<u64> {
+        let Forwarder { pool, room, directory, health, flows, load, plan, .. } = self;
+        let hash = flow_hash(endpoints);
+        let Announcement { service, zone, .. } =
+            &directory.by_cookie(server_cookie(id))?.announcement;
+        if room.admits(now, (service, zone), priority, hash) {
+            return Some(id);
+        }
+        let (avoid, silent) = (None, false);
+        let view =
+            View { now, endpoints, hash, avoid, silent, directory, health, flows, load, plan };
+        let point = (hash >> 32) as u32;
+        let has_room = |zone: &Name| !room.is_short((service, zone));
+        let other = pool.select_elsewhere(now, service, point, &view, has_room)?;
+        let zone = &directory.by_cookie(server_cookie(other))?.announcement.zone;
+        room.admits(now, (service, zone), priority, hash).then_some(other)
+    }
 }
--- a/src/cookie/forwarder/outcomes.rs
+++ b/src/cookie/forwarder/outcomes.rs
@@ -59,14 +59,6 @@
         exchange
     }
 
-    /// Returns whether the service of the server that holds `cookie` has room for a new flow.
-    pub(super) fn has_room(&mut self, now: Time, packet: &PacketInfo, cookie: u32) -> bool {
-        let Some(route) = self.routes.get(&packet.route) else { return true };
-        let Some(record) = self.directory.by_cookie(cookie) else { return true };
-        let service = &record.announcement.service;
-        self.room.admits(now, service, route.priority, packet.flow_hash())
-    }
-
     /// Applies the outcomes of requests and openings to what depends on them.
     pub(super) fn apply_outcomes(&mut self, now: Time) {
         self.health.tick(now);
@@ -82,8 +74,11 @@
         while let Some(outcome) = self.load.take_outcome() {
             self.health.record(now, outcome.id, outcome.bad, &self.directory);
             // A server that answers worse than the others says nothing about the room of these.
-            if !self.health.is_limited(outcome.id) {
-                self.room.record(now, &outcome.service, outcome.target, &outcome.outcome);
+            if !self.health.is_limited(outcome.id)
+                && let Some((server, _)) = self.directory.assess(now, outcome.id)
+            {
+                let place = (&server.service, &server.zone);
+                self.room.record(now, place, outcome.target, &outcome.outcome);
             }
             match outcome.outcome {
                 RequestOutcome::Answered(after) => self.pool.answered(outcome.id, after),
--- a/src/cookie/server_pool.rs
+++ b/src/cookie/server_pool.rs
@@ -179,10 +179,7 @@
         view: &impl ServerView,
     ) -> Option<u64> {
         let summary = self.summary_weight(now);
-        let load = |entry: &Entry| {
-            let OwnLoad { requests, flows } = view.load(entry.cookie);
-            REQUEST_WEIGHT * u64::from(requests) + u64::from(flows)
-        };
+        let load = |entry: &Entry| weighed_load(view, entry);
         let ServicePool { zones, shares, .. } = self.services.get_mut(service)?;
         let preferred = shares.select(point).unwrap_or(&self.own_zone);
         let take = |name: &Name, zone: &mut ZonePool, last_resort: bool| {
@@ -207,6 +204,31 @@
         })
     }
 
+    /// Selects an available server in a zone for which `has_room` is true, for a flow that the zone
+    /// of [`ServerPool::select`] has no room for.
+    pub fn select_elsewhere(
+        &mut self,
+        now: Time,
+        service: &Name,
+        point: u32,
+        view: &impl ServerView,
+        has_room: impl Fn(&Name) -> bool,
+    ) -> Option<u64> {
+        let summary = self.summary_weight(now);
+        let choices = self.choices;
+        let zones = &mut self.services.get_mut(service)?.zones;
+        let len = zones.len();
+        // Flows of several VMs spread over the zones.
+        (0..len).find_map(|step| {
+            let (name, zone) = zones.iter_mut().nth((point as usize + step) % len)?;
+            if !has_room(name) || !view.is_zone_in(name) {
+                return None;
+            }
+            let allowed = |entry: &Entry| !view.is_last_resort(entry.id) && view.accepts(entry.id);
+            zone.available.take(choices, summary, allowed, |entry| weighed_load(view, entry))
+        })
+    }
+
     /// Returns whether a service has no server that is available or cold.
     ///
     /// Its silent servers then receive flows: it is unlikely that all servers of a service fail at
@@ -287,6 +309,12 @@
     }
 }
 
+/// Returns the load of a server as the VM itself knows it.
+fn weighed_load(view: &impl ServerView, entry: &Entry) -> u64 {
+    let OwnLoad { requests, flows } = view.load(entry.cookie);
+    REQUEST_WEIGHT * u64::from(requests) + u64::from(flows)
+}
+
 impl Place {
     fn is_cold(&self) -> bool {
         self.eligibility == Eligibility::Cold
--- a/src/cookie/service_room.rs
+++ b/src/cookie/service_room.rs
@@ -1,7 +1,8 @@
-//! The share of openings that the backend servers of a service have room for.
+//! The share of openings that the backend servers of a service in an availability zone have room for.
 //!
 //! No capacity is configured. The limit on admitted openings falls while servers refuse requests or
-//! answer late, and rises otherwise. Every VM does this for the traffic that it sees.
+//! answer late, and rises otherwise. Every VM does this for the traffic that it sees. Zones are
+//! limited one by one: what one of them has no room for goes to another that is not short.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -171,32 +172,35 @@
     }
 }
 
-/// A service that has become short of capacity or is no longer.
+/// A service and an availability zone: the servers whose room is estimated together.
+pub type Place<'a> = (&'a Name, &'a Name);
+
+/// A service that has become short of capacity in an availability zone or is no longer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ShortChange {
     /// Name of the service.
     pub service: Name,
+    /// Name of the availability zone.
+    pub zone: Name,
     /// Whether it is short.
     pub short: bool,
 }
 
-/// The room of each service.
+/// The room of each service in each availability zone.
+///
+/// Answers the load of callers that ask for more than the servers can serve, for example a burst of
+/// several times the capacity.
 #[derive(Debug, Clone, Default)]
 pub struct ServiceRoom {
-    rooms: BTreeMap<Name, Room>,
+    rooms: BTreeMap<(Name, Name), Room>,
     changes: Vec<ShortChange>,
 }
 
 impl ServiceRoom {
-    /// Records how a request to `service` ended that should have been answered within `target`.
-    pub fn record(
-        &mut self,
-        now: Time,
-        service: &Name,
-        target: Duration,
-        outcome: &RequestOutcome,
-    ) {
-        let room = self.room(now, service);
+    /// Records how a request to a server of `place` ended that should have been answered within
+    /// `target`.
+    pub fn record(&mut self, now: Time, place: Place, target: Duration, outcome: &RequestOutcome) {
+        let room = self.room(now, place);
         match outcome {
             RequestOutcome::Answered(after) => {
                 room.served.record(now);
@@ -206,15 +210,15 @@
             _ => return,
         }
         room.answers += 1;
-        self.adjust(now, service);
+        self.adjust(now, place);
     }
 
-    /// Returns whether `service` has room for a flow of `priority`; `draw` is a hash of the flow, so
-    /// that copies of its opening get the same result.
-    pub fn admits(&mut self, now: Time, service: &Name, priority: u8, draw: u64) -> bool {
-        self.room(now, service).offered.entry(priority).or_default().record(now);
-        self.adjust(now, service);
-        let room = self.room(now, service);
+    /// Returns whether the servers of `place` have room for a flow of `priority`; `draw` is a hash of
+    /// the flow, so that copies of its opening get the same result.
+    pub fn admits(&mut self, now: Time, place: Place, priority: u8, draw: u64) -> bool {
+        self.room(now, place).offered.entry(priority).or_default().record(now);
+        self.adjust(now, place);
+        let room = self.room(now, place);
         // The bits of the hash select the route's service too; the product is independent of that.
         let draw = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
         let admitted = (draw as f32) < room.share(now, priority) * (1 << 24) as f32;
@@ -225,7 +229,13 @@
         admitted
     }
 
-    /// Returns the smallest share of openings that a service has room for.
+    /// Returns whether the servers of `place` are short of capacity.
+    pub fn is_short(&self, (service, zone): Place) -> bool {
+        let room = self.rooms.get(&(service.clone(), zone.clone()));
+        room.is_some_and(|room| room.limit.is_some())
+    }
+
+    /// Returns the smallest share of openings that the servers of a service in a zone have room for.
     pub fn min_level(&self, now: Time) -> f32 {
         let level = |room: &Room| {
             room.limit.map_or(1.0, |limit| (limit / room.offered(now).max(1.0)).clamp(FLOOR, 1.0))
@@ -233,23 +243,21 @@
         self.rooms.values().map(level).fold(1.0, f32::min)
     }
 
-    /// Takes the services that have become short of capacity or are no longer.
+    /// Takes the services that have become short of capacity in a zone or are no longer.
     pub fn take_changes(&mut self) -> Vec<ShortChange> {
         std::mem::take(&mut self.changes)
     }
 
-    fn adjust(&mut self, now: Time, service: &Name) {
-        let room = self.room(now, service);
+    fn adjust(&mut self, now: Time, (service, zone): Place) {
+        let room = self.room(now, (service, zone));
         if room.adjust(now) {
             let short = room.limit.is_some();
-            self.changes.push(ShortChange { service: service.clone(), short });
+            let (service, zone) = (service.clone(), zone.clone());
+            self.changes.push(ShortChange { service, zone, short });
         }
     }
 
-    fn room(&mut self, now: Time, service: &Name) -> &mut Room {
-        if !self.rooms.contains_key(service) {
-            self.rooms.insert(service.clone(), Room::new(now));
-        }
-        self.rooms.get_mut(service).expect("the room was just inserted")
+    fn room(&mut self, now: Time, (service, zone): Place) -> &mut Room {
+        self.rooms.entry((service.clone(), zone.clone())).or_insert_with(|| Room::new(now))
     }
 }
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -306,9 +306,9 @@
     }
 
     fn log_short(&mut self) {
-        for ShortChange { service, short } in self.forwarder.take_short_changes() {
+        for ShortChange { service, zone, short } in self.forwarder.take_short_changes() {
             let event = if short { "short" } else { "short_end" };
-            log::info!("event={event} resource=service service={service}");
+            log::info!("event={event} resource=service service={service} zone={zone}");
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,7 +79,7 @@
         Announcement, ControlLocation, DropReason, Eligibility, EntryVms, Explanation, FairShare,
         FeedCache, FeedMessage, FeedTargets, FlowReset, FlowVerdict, Forwarder, ForwardingPlan,
         Gossip, HeldPacket, HeldPackets, LoadReporter, LoadTable, LoadView, OwnLoad, PacketInfo,
-        PrimaryFeed, ReportedLoad, RequestOutcome, ResetReason, Resource, ServerAssessment,
+        Place, PrimaryFeed, ReportedLoad, RequestOutcome, ResetReason, Resource, ServerAssessment,
         ServerDirectory, ServerLoad, ServerPool, ServerRecord, ServerRegistry, ServerState,
         ServerView, ServiceRoom, ShortChange, ShortageChange, UpdateBatcher, UpdateOutcome,
         ZoneShare, server_cookie,
--- a/tests/service_room.rs
+++ b/tests/service_room.rs
@@ -20,6 +20,7 @@
 
 use cookie::{PERIOD, ROUTE, announce, announcement, control_addr, following, opening, plan};
 
+const ZONE: &str = "a";
 const SERVERS: u64 = 12;
 const SLOTS: u64 = 2;
 const QUEUE_LEN: usize = 8;
@@ -264,10 +265,14 @@
 fn offer(room: &mut ServiceRoom, range: std::ops::Range<u64>, outcome: RequestOutcome) -> usize {
     let service: Name = "hub".into();
     let admitted = range.filter(|now| {
-        let admitted =
-            room.admits(millis(*now), &service, 1, now.wrapping_mul(0x1234_5677_9abc_def1));
+        let admitted = room.admits(
+            millis(*now),
+            (&service, &ZONE.into()),
+            1,
+            now.wrapping_mul(0x1234_5677_9abc_def1),
+        );
         if admitted {
-            room.record(millis(*now), &service, TARGET, &outcome);
+            room.record(millis(*now), (&service, &ZONE.into()), TARGET, &outcome);
         }
         admitted
     });
@@ -293,11 +298,11 @@
     let mut room = ServiceRoom::default();
     for step in 0..1_000_u64 {
         let now = millis(step * 20);
-        assert!(room.admits(now, &service, 2, u64::MAX / 1_000 * step));
+        assert!(room.admits(now, (&service, &ZONE.into()), 2, u64::MAX / 1_000 * step));
         let refused = step % 60 == 0;
         let answered = RequestOutcome::Answered(Duration::from_millis(24));
         let outcome = if refused { RequestOutcome::Refused } else { answered };
-        room.record(now, &service, TARGET, &outcome);
+        room.record(now, (&service, &ZONE.into()), TARGET, &outcome);
     }
     assert_eq!(room.take_changes(), []);
 }
@@ -309,7 +314,11 @@
     let mut room = ServiceRoom::default();
     offer(&mut room, 0..3_000, RequestOutcome::Refused);
     for draw in (0..64).map(|draw| draw << 58) {
-        let admitted = room.admits(millis(3_000), &service, 1, draw);
-        assert_eq!(room.admits(millis(3_000), &service, 1, draw), admitted, "{draw:x}");
+        let admitted = room.admits(millis(3_000), (&service, &ZONE.into()), 1, draw);
+        assert_eq!(
+            room.admits(millis(3_000), (&service, &ZONE.into()), 1, draw),
+            admitted,
+            "{draw:x}"
+        );
     }
 }
