--- a/src/cookie/flow_table.rs
+++ b/src/cookie/flow_table.rs
@@ -10,7 +10,9 @@
     time::Duration,
 };
 
-use super::{exchange::Exchange, link_budget::FlowBytes, server_load::ServerLoad};
+use super::{
+    exchange::Exchange, link_budget::FlowBytes, server_load::ServerLoad, verdict::Endpoints,
+};
 use crate::time::Time;
 
 /// Limit on tracked flows; an entry takes about 130 bytes.
@@ -20,9 +22,6 @@
 /// than a caller sends between two packets that reach the same VM.
 const SEQUENCE_WINDOW: u32 = 1 << 24;
 
-/// Both ends of a flow: the caller and the route.
-pub(crate) type Endpoints = (SocketAddrV4, SocketAddrV4);
-
 /// A tracked flow.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct FlowEntry {
@@ -91,10 +90,10 @@
         }
         if let Some(before) = self.flows.insert(endpoints, entry) {
             self.adjust_open(before, false);
-            load.remove(&before);
+            load.remove(before.cookie, &before.exchange);
         }
         self.adjust_open(entry, true);
-        load.add(&entry);
+        load.add(entry.cookie, &entry.exchange);
     }
 
     fn adjust_open(&mut self, entry: FlowEntry, increment: bool) {
@@ -120,7 +119,7 @@
         let mut removed: Vec<_> = removed.collect();
         for (_, entry) in &removed {
             self.adjust_open(*entry, false);
-            load.remove(entry);
+            load.remove(entry.cookie, &entry.exchange);
         }
         removed.retain(|(_, entry)| !entry.closed);
         removed
@@ -137,16 +136,16 @@
     ) {
         let expired = self.flows.extract_if(.., |(_, route), entry| {
             if entry.exchange.in_progress() {
-                load.remove(entry);
+                load.remove(entry.cookie, &entry.exchange);
                 entry.exchange.expire(now, limit(route));
-                load.add(entry);
+                load.add(entry.cookie, &entry.exchange);
             }
             now.since(entry.last_seen) >= idle
         });
         let expired: Vec<_> = expired.collect();
         for (_, entry) in expired {
             self.adjust_open(entry, false);
-            load.remove(&entry);
+            load.remove(entry.cookie, &entry.exchange);
         }
     }
 }
--- a/src/cookie/forwarder/opening.rs
+++ b/src/cookie/forwarder/opening.rs
@@ -4,11 +4,13 @@
     super::{
         admission::Verdict,
         exchange::Exchange,
-        flow_table::{Endpoints, FlowEntry},
+        flow_table::FlowEntry,
         link_budget::FlowBytes,
         record::{Announcement, ServerState, server_cookie},
         server_view::{View, services},
-        verdict::{DropReason, FlowVerdict, PacketInfo, ResetReason, Resource, flow_hash},
+        verdict::{
+            DropReason, Endpoints, FlowVerdict, PacketInfo, ResetReason, Resource, flow_hash,
+        },
     },
     Forwarder, RETRY_AGE, STARTUP_GRACE,
 };
--- a/src/cookie/passive_health.rs
+++ b/src/cookie/passive_health.rs
@@ -16,9 +16,9 @@
 use super::{
     decayed_share::DecayedShare,
     directory::{Eligibility, ServerDirectory},
-    flow_table::Endpoints,
     record::server_cookie,
     server_results::{Openings, RESULT_WINDOW, Server},
+    verdict::Endpoints,
 };
 use crate::{name::Name, time::Time};
 
--- a/src/cookie/refused_flows.rs
+++ b/src/cookie/refused_flows.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::verdict::{PacketInfo, Resource};
-use crate::{cookie::flow_table::Endpoints, time::Time};
+use super::verdict::{Endpoints, PacketInfo, Resource};
+use crate::time::Time;
 
 /// Number of remembered openings, 130 KB: more than a VM refuses while a copy is under way.
 const SLOTS: usize = 4_096;
--- a/src/cookie/server_view.rs
+++ b/src/cookie/server_view.rs
@@ -3,11 +3,12 @@
 use super::{
     directory::{Eligibility, ServerDirectory},
     feed::ForwardingPlan,
-    flow_table::{Endpoints, FlowTable},
+    flow_table::FlowTable,
     passive_health::PassiveHealth,
     record::server_cookie,
     server_load::ServerLoad,
     server_pool::{OwnLoad, ServerView},
+    verdict::Endpoints,
 };
 use crate::{name::Name, routing_config::Route, time::Time};
 
--- a/src/cookie/service_room.rs
+++ b/src/cookie/service_room.rs
@@ -173,7 +173,7 @@
 }
 
 /// A service and an availability zone: the servers whose room is estimated together.
-pub type Place<'a> = (&'a Name, &'a Name);
+pub type ServiceZone<'a> = (&'a Name, &'a Name);
 
 /// A service that has become short of capacity in an availability zone or is no longer.
 #[derive(Debug, Clone, PartialEq)]
@@ -199,7 +199,13 @@
 impl ServiceRoom {
     /// Records how a request to a server of `place` ended that should have been answered within
     /// `target`.
-    pub fn record(&mut self, now: Time, place: Place, target: Duration, outcome: &RequestOutcome) {
+    pub fn record(
+        &mut self,
+        now: Time,
+        place: ServiceZone,
+        target: Duration,
+        outcome: &RequestOutcome,
+    ) {
         let room = self.room(now, place);
         match outcome {
             RequestOutcome::Answered(after) => {
@@ -215,7 +221,7 @@
 
     /// Returns whether the servers of `place` have room for a flow of `priority`; `draw` is a hash of
     /// the flow, so that copies of its opening get the same result.
-    pub fn admits(&mut self, now: Time, place: Place, priority: u8, draw: u64) -> bool {
+    pub fn admits(&mut self, now: Time, place: ServiceZone, priority: u8, draw: u64) -> bool {
         self.room(now, place).offered.entry(priority).or_default().record(now);
         self.adjust(now, place);
         let room = self.room(now, place);
@@ -230,7 +236,7 @@
     }
 
     /// Returns whether the servers of `place` are short of capacity.
-    pub fn is_short(&self, (service, zone): Place) -> bool {
+    pub fn is_short(&self, (service, zone): ServiceZone) -> bool {
         let room = self.rooms.get(&(service.clone(), zone.clone()));
         room.is_some_and(|room| room.limit.is_some())
     }
@@ -248,7 +254,7 @@
         std::mem::take(&mut self.changes)
     }
 
-    fn adjust(&mut self, now: Time, (service, zone): Place) {
+    fn adjust(&mut self, now: Time, (service, zone): ServiceZone) {
         let room = self.room(now, (service, zone));
         if room.adjust(now) {
             let short = room.limit.is_some();
@@ -257,7 +263,7 @@
         }
     }
 
-    fn room(&mut self, now: Time, (service, zone): Place) -> &mut Room {
+    fn room(&mut self, now: Time, (service, zone): ServiceZone) -> &mut Room {
         self.rooms.entry((service.clone(), zone.clone())).or_insert_with(|| Room::new(now))
     }
 }
--- a/src/cookie/verdict.rs
+++ b/src/cookie/verdict.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddrV4;
 
-use super::flow_table::Endpoints;
 use crate::member::hash;
 
+/// Both ends of a flow: the caller and the route.
+pub(crate) type Endpoints = (SocketAddrV4, SocketAddrV4);
+
 /// The fields of a packet that the forwarder reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PacketInfo {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,6 +2,7 @@
 //! state machines and carry out the actions that these return.
 
 mod args;
+mod clock;
 mod config_file;
 mod control;
 mod control_client;
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -6,7 +6,6 @@
     time::Duration,
 };
 
-use nix::time::{ClockId, clock_gettime};
 use tokio::{
     net::UdpSocket,
     sync::{Notify, mpsc, watch},
@@ -16,6 +15,7 @@
 mod packets;
 
 use super::{
+    clock::now,
     metrics::{self, Gauge, Metrics},
     presence,
     subscribe::{FeedClient, FeedEvent},
@@ -179,12 +179,6 @@
     Ok(ForwarderHandle { ready: ready_rx, shutting_down: watch::Sender::new(false), seeds })
 }
 
-/// Returns the time since boot, including time in which the VM was suspended.
-pub(super) fn now() -> Time {
-    let since = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from).unwrap_or_default();
-    Time::ZERO + since
-}
-
 struct EventLoop<F> {
     forwarder: Forwarder,
     codec: F,
--- a/src/daemon/subscribe.rs
+++ b/src/daemon/subscribe.rs
@@ -15,7 +15,10 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::link::{self, Ack, Hello};
+use super::{
+    clock::now,
+    link::{self, Ack, Hello},
+};
 use crate::{
     cookie::{ControlLocation, FeedMessage, FeedTargets, LoadReporter, PrimaryFeed},
     name::Name,
@@ -224,7 +227,7 @@
                 if self.targets().carries_reports(slot) =>
             {
                 let mut reporter = self.reporter.lock().unwrap_or_else(PoisonError::into_inner);
-                reporter.take(super::forward::now())
+                reporter.take(now())
             }
             _ => None,
         }
