Keep room for higher priorities by the requests in progress

Cause: room was learnt from results alone. Openings of the lowest priority fill the queues until then.

Change: slot_use.rs decides by the requests in progress per slot, this VM's and those of the load summary. While more than a tenth of the openings is of a higher priority, others need less than two a slot in their zone, or go to a zone where that holds.

--- a/src/cookie/forwarder/opening.rs
+++ b/src/cookie/forwarder/opening.rs
@@ -8,6 +8,7 @@
         link_budget::FlowBytes,
         record::{Announcement, ServerState, server_cookie},
         server_view::{View, services},
+        slot_use::SlotUse,
         verdict::{
             DropReason, Endpoints, FlowVerdict, PacketInfo, ResetReason, Resource, flow_hash,
         },
@@ -158,6 +159,9 @@
 
     /// Returns a server with room for a new flow: `id`, or one of another zone if the servers in
     /// that one's zone are short of capacity.
+    ///
+    /// Openings of the highest priority find room by results; others also need room by the requests
+    /// in progress, so that these leave the queues to the highest.
     fn find_room(
         &mut self,
         now: Time,
@@ -169,14 +173,20 @@
         let hash = flow_hash(endpoints);
         let Announcement { service, zone, .. } =
             &directory.by_cookie(server_cookie(id))?.announcement;
-        if room.admits(now, (service, zone), priority, hash) {
-            return Some(id);
-        }
         let (avoid, silent) = (None, false);
         let view =
             View { now, endpoints, hash, avoid, silent, directory, health, flows, load, plan };
+        let place = (service, zone);
+        let yields = room.yields(now, place, priority);
+        let slot_use = || pool.slot_use(now, service, zone, &view);
+        let admitted = room.admits(now, place, priority, hash);
+        if admitted && (!yields || slot_use().is_none_or(SlotUse::has_room)) {
+            return Some(id);
+        }
         let point = (hash >> 32) as u32;
-        let has_room = |zone: &Name| !room.is_short((service, zone));
+        let has_room = |zone: &Name, slots: SlotUse| {
+            !room.is_short((service, zone)) && (!yields || slots.has_room())
+        };
         let other = pool.select_elsewhere(now, service, point, &view, has_room)?;
         let zone = &directory.by_cookie(server_cookie(other))?.announcement.zone;
         room.admits(now, (service, zone), priority, hash).then_some(other)
--- a/src/cookie/server_pool.rs
+++ b/src/cookie/server_pool.rs
@@ -13,6 +13,7 @@
     directory::Eligibility,
     record::Announcement,
     server_ring::{Entry, Ring},
+    slot_use::SlotUse,
     zone_share::ZoneShare,
 };
 use crate::{name::Name, time::Time};
@@ -212,7 +213,7 @@
         service: &Name,
         point: u32,
         view: &impl ServerView,
-        has_room: impl Fn(&Name) -> bool,
+        has_room: impl Fn(&Name, SlotUse) -> bool,
     ) -> Option<u64> {
         let summary = self.summary_weight(now);
         let choices = self.choices;
@@ -221,7 +222,7 @@
         // Flows of several VMs spread over the zones.
         (0..len).find_map(|step| {
             let (name, zone) = zones.iter_mut().nth((point as usize + step) % len)?;
-            if !has_room(name) || !view.is_zone_in(name) {
+            if !view.is_zone_in(name) || !has_room(name, zone.slot_use(summary, view)) {
                 return None;
             }
             let allowed = |entry: &Entry| !view.is_last_resort(entry.id) && view.accepts(entry.id);
@@ -250,6 +251,19 @@
         zone.is_some_and(|zone| !zone.available.is_empty())
     }
 
+    /// Returns the requests in progress at the available servers of a service in a zone, those of
+    /// other VMs according to the load summary; `None` if the zone has no servers.
+    pub fn slot_use(
+        &self,
+        now: Time,
+        service: &Name,
+        zone: &Name,
+        view: &impl ServerView,
+    ) -> Option<SlotUse> {
+        let zone = self.services.get(service)?.zones.get(zone)?;
+        Some(zone.slot_use(self.summary_weight(now), view))
+    }
+
     /// Adjusts the distribution of a service over zones if it is due.
     pub fn tick(&mut self, now: Time, service: &Name, view: &impl ServerView) {
         let summary = self.summary_weight(now);
@@ -309,6 +323,17 @@
     }
 }
 
+impl ZonePool {
+    /// Returns the use of the available servers' slots, where the load summary has the weight
+    /// `summary`.
+    fn slot_use(&self, summary: f32, view: &impl ServerView) -> SlotUse {
+        let ring = &self.available;
+        let own: u32 = ring.cookies().map(|cookie| view.load(cookie).requests).sum();
+        let others = ring.other_requests() as f32 * summary;
+        SlotUse { requests: own as f32 + others, slots: ring.slots() as f32 }
+    }
+}
+
 /// Returns the load of a server as the VM itself knows it.
 fn weighed_load(view: &impl ServerView, entry: &Entry) -> u64 {
     let OwnLoad { requests, flows } = view.load(entry.cookie);
--- a/src/cookie/server_ring.rs
+++ b/src/cookie/server_ring.rs
@@ -111,6 +111,11 @@
         self.other_requests = self.servers().map(|entry| entry.other_requests).sum();
     }
 
+    /// Iterates over the cookies of the servers.
+    pub(super) fn cookies(&self) -> impl Iterator<Item = u32> {
+        self.servers().map(|entry| entry.cookie)
+    }
+
     /// Iterates over the first turn of each server.
     fn servers(&self) -> impl Iterator<Item = &Entry> {
         self.entries.iter().filter(|entry| entry.first)
--- a/src/cookie/service_room.rs
+++ b/src/cookie/service_room.rs
@@ -44,6 +44,8 @@
 const FLOOR: f32 = 0.02;
 /// Time constant of rates; a second after an overload, what remains of its openings does not count.
 const RATE_WINDOW: Duration = Duration::from_millis(300);
+/// Share of the openings above which those of a higher priority are more than a few.
+const HIGHER_SHARE: f32 = 0.1;
 /// Time for which all openings must have been admitted before a service is no longer short.
 const RECOVERY: Duration = Duration::from_secs(1);
 
@@ -235,6 +237,16 @@
         admitted
     }
 
+    /// Returns whether openings of `priority` for the servers of `place` yield to those of a higher
+    /// one, which are more than a few.
+    pub fn yields(&self, now: Time, (service, zone): ServiceZone, priority: u8) -> bool {
+        let room = self.rooms.get(&(service.clone(), zone.clone()));
+        room.is_some_and(|room| {
+            let higher = room.offered.range(..priority).map(|(_, rate)| rate.per_second(now));
+            higher.sum::<f32>() > room.offered(now) * HIGHER_SHARE
+        })
+    }
+
     /// Returns whether the servers of `place` are short of capacity.
     pub fn is_short(&self, (service, zone): ServiceZone) -> bool {
         let room = self.rooms.get(&(service.clone(), zone.clone()));
--- a/src/cookie/slot_use.rs
+++ b/src/cookie/slot_use.rs
@@ -5,9 +5,9 @@
 //! service times. Requests in progress show the same as soon as they are sent, and include those on
 //! flows that are open, which no limit on openings holds back.
 
-/// Requests in progress per slot from which on openings that yield to a higher priority find no
-/// room: one request waits for each that runs.
-const YIELD_LIMIT: f32 = 2.0;
+/// Requests in progress per slot from which on there is no room: one request waits for each that
+/// runs.
+const ROOM_LIMIT: f32 = 2.0;
 
 /// Requests in progress and slots of the servers of a service in an availability zone.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -24,12 +24,8 @@
         SlotUse { requests: requests as f32, slots: slots as f32 }
     }
 
-    /// Returns whether there is room for a flow whose requests should leave the queue to those of a
-    /// higher priority.
-    ///
-    /// Answers the load of callers that ask for more than the servers can serve while requests of a
-    /// higher priority would fit.
+    /// Returns whether there is room for a new flow.
     pub fn has_room(self) -> bool {
-        self.requests < self.slots * YIELD_LIMIT
+        self.requests < self.slots * ROOM_LIMIT
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,7 +81,7 @@
         Gossip, HeldPacket, HeldPackets, LoadReporter, LoadTable, LoadView, OwnLoad, PacketInfo,
         PrimaryFeed, ReportedLoad, RequestOutcome, ResetReason, Resource, ServerAssessment,
         ServerDirectory, ServerLoad, ServerPool, ServerRecord, ServerRegistry, ServerState,
-        ServerView, ServiceRoom, ServiceZone, ShortChange, ShortageChange, UpdateBatcher,
+        ServerView, ServiceRoom, ServiceZone, ShortChange, ShortageChange, SlotUse, UpdateBatcher,
         UpdateOutcome, ZoneShare, server_cookie,
     },
     counter::{Counter, Counters},
