Leave out zones whose queues the VMs of other zones have filled

Cause: the load summary of a zone's VMs has their own requests by server. While all zones are overloaded, each sends its rest to the others, whose queues are full of requests that it does not see.

Change: openings that yield go to another zone only if the totals of the summaries have less than five requests a slot there, at which queues are nearly full.

--- a/src/cookie/forwarder/opening.rs
+++ b/src/cookie/forwarder/opening.rs
@@ -169,7 +169,7 @@
         priority: u8,
         id: u64,
     ) -> Option<u64> {
-        let Forwarder { pool, room, directory, health, flows, load, plan, .. } = self;
+        let Forwarder { pool, room, directory, health, flows, load, load_view, plan, .. } = self;
         let hash = flow_hash(endpoints);
         let Announcement { service, zone, .. } =
             &directory.by_cookie(server_cookie(id))?.announcement;
@@ -184,8 +184,14 @@
             return Some(id);
         }
         let point = (hash >> 32) as u32;
+        // The load summary of this zone's VMs leaves out the requests of other zones' VMs, which
+        // only totals have; these are up to 2 s old.
+        let is_full = |zone: &Name| {
+            let total = load_view.zone_room(now, service, zone);
+            total.is_some_and(|(requests, slots)| SlotUse::new(requests, slots).is_full())
+        };
         let has_room = |zone: &Name, slots: SlotUse| {
-            !room.is_short((service, zone)) && (!yields || slots.has_room())
+            !room.is_short((service, zone)) && (!yields || slots.has_room() && !is_full(zone))
         };
         let other = pool.select_elsewhere(now, service, point, &view, has_room)?;
         let zone = &directory.by_cookie(server_cookie(other))?.announcement.zone;
--- a/src/cookie/slot_use.rs
+++ b/src/cookie/slot_use.rs
@@ -8,6 +8,9 @@
 /// Requests in progress per slot from which on there is no room: one request waits for each that
 /// runs.
 const ROOM_LIMIT: f32 = 2.0;
+/// Requests in progress per slot from which on queues are nearly full: servers queue a few requests
+/// for each slot.
+const FULL_LIMIT: f32 = 5.0;
 
 /// Requests in progress and slots of the servers of a service in an availability zone.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -28,4 +31,9 @@
     pub fn has_room(self) -> bool {
         self.requests < self.slots * ROOM_LIMIT
     }
+
+    /// Returns whether the queues of the servers are nearly full.
+    pub fn is_full(self) -> bool {
+        self.requests >= self.slots * FULL_LIMIT
+    }
 }
--- a/tests/slot_use.rs
+++ b/tests/slot_use.rs
@@ -127,3 +127,10 @@
     assert!(!SlotUse::new(120, slots).has_room());
     assert!(!SlotUse::new(0, 0).has_room(), "a zone without servers has no room");
 }
+
+/// Guards against flows for zones whose queues the VMs of other zones have filled.
+#[test]
+fn queues_are_nearly_full_at_five_requests_a_slot() {
+    assert!(!SlotUse::new(299, 60).is_full());
+    assert!(SlotUse::new(300, 60).is_full());
+}
