--- a/tests/hard_load.rs
+++ b/tests/hard_load.rs
@@ -54,7 +54,8 @@
     client: u64,
     start: u64,
     tries: u32,
-    answered: bool,
+    /// Time from the first try to the answer, in microseconds.
+    answered: Option<u64>,
 }
 
 /// An open flow.
@@ -177,7 +178,7 @@
             };
             let client = self.random.random_range(0..4 * CLIENTS);
             let (start, index) = (now as u64, self.calls.len());
-            self.calls.push(Call { kind, client, start, tries: 0, answered: false });
+            self.calls.push(Call { kind, client, start, tries: 0, answered: None });
             self.push(start, Event::Try(index));
         }
     }
@@ -265,7 +266,7 @@
         self.push(now + delay, Event::Acknowledge(call, flow));
         match refused {
             true => self.retry(now, call),
-            false => self.calls[call].answered = true,
+            false => self.calls[call].answered = Some(now - self.calls[call].start),
         }
     }
 
@@ -290,7 +291,7 @@
 fn failed(calls: &[Call], kinds: &[usize]) -> f64 {
     let counted = calls.iter().filter(|call| BURST.contains(&call.start));
     let counted: Vec<_> = counted.filter(|call| kinds.contains(&call.kind)).collect();
-    let failed = counted.iter().filter(|call| !call.answered).count();
+    let failed = counted.iter().filter(|call| call.answered.is_none()).count();
     failed as f64 / counted.len() as f64
 }
 
@@ -313,3 +314,23 @@
         assert_eq!(failed, 0.0, "seed {seed}, {load} times the capacity");
     }
 }
+
+/// Returns the part of the burst's requests of `kinds` that were answered in time.
+fn in_time(calls: &[Call], kinds: &[usize]) -> f64 {
+    let counted = calls.iter().filter(|call| BURST.contains(&call.start));
+    let counted: Vec<_> = counted.filter(|call| kinds.contains(&call.kind)).collect();
+    let is_in_time = |after: u64| Duration::from_micros(after) <= TARGET;
+    let in_time = counted.iter().filter(|call| call.answered.is_some_and(is_in_time)).count();
+    in_time as f64 / counted.len() as f64
+}
+
+/// Guards against queues that are full of requests of a low priority: orders are a fifth of the
+/// requests and fit at both loads.
+#[test]
+#[ignore = "KNOWN-RED.txt: the highest priority above the capacity"]
+fn above_the_capacity_orders_are_in_time() {
+    for (seed, load) in [(1, 1.3), (2, 1.3), (3, 3.0), (4, 3.0)] {
+        let share = in_time(&Model::new(seed).run(load), &[ORDER]);
+        assert!(share >= 0.98, "seed {seed}, {load} times the capacity: {share:.3} in time");
+    }
+}
