Do not take silent servers for full ones

Cause: a zone without an available server counted as one without room. While the announcements of all servers are missing, as after an outage of the control VMs, servers are silent and still receive flows; openings that yield to a higher priority were refused then.

Change: the use of slots is unknown if no server of the zone is available, and refuses nothing.

Measured: silent_servers_are_not_full fails without the change (two of eight requests on, all of the lower priority are refused) and passes with it.

--- a/src/cookie/server_pool.rs
+++ b/src/cookie/server_pool.rs
@@ -252,7 +252,7 @@
     }
 
     /// Returns the requests in progress at the available servers of a service in a zone, those of
-    /// other VMs according to the load summary; `None` if the zone has no servers.
+    /// other VMs according to the load summary; `None` if the zone has no available server.
     pub fn slot_use(
         &self,
         now: Time,
@@ -261,7 +261,8 @@
         view: &impl ServerView,
     ) -> Option<SlotUse> {
         let zone = self.services.get(service)?.zones.get(zone)?;
-        Some(zone.slot_use(self.summary_weight(now), view))
+        let available = !zone.available.is_empty();
+        available.then(|| zone.slot_use(self.summary_weight(now), view))
     }
 
     /// Adjusts the distribution of a service over zones if it is due.
--- a/tests/slot_use.rs
+++ b/tests/slot_use.rs
@@ -4,7 +4,7 @@
 
 use galenatrail::{
     FeedMessage, FlowVerdict, Forwarder, ForwardingPlan, PacketInfo, ResetReason, Resource,
-    RoutingConfig, SlotUse, Time,
+    RoutingConfig, ServerRecord, SlotUse, Time,
 };
 
 #[path = "support/cookie.rs"]
@@ -111,6 +111,22 @@
     assert!(orders.clone().all(Result::is_ok), "the higher priority is refused");
 }
 
+/// Guards against refusals while the announcements of all servers are missing: silent servers have no
+/// slots that count, and receive flows if there are no others.
+#[test]
+fn silent_servers_are_not_full() {
+    let mut play = Play::new();
+    let silent =
+        |id, zone| ServerRecord { silent: true, ..ServerRecord::new(announcement(id, zone)) };
+    let own = OWN.map(|id| silent(id, "a"));
+    let other = OTHER.map(|id| silent(id, "b"));
+    let records = [own, other].concat();
+    let message = FeedMessage::Servers { all: true, records };
+    play.vm.handle_feed(play.now, control_addr(), message);
+    let requests = play.requests(FULL);
+    assert!(requests.iter().all(Result::is_ok), "{requests:?}");
+}
+
 /// Guards against slots that are kept for requests that nobody sends.
 #[test]
 fn the_lowest_priority_alone_is_not_refused() {
