Refuse a log record that is intact and can't be decoded

Cause: a frame at the end of the last segment that can't be decoded counted as torn, also if its checksums match. A build that starts on the disk of a newer one, as when an upgrade is rolled back, would cut acknowledged entries off.

Change: only frames that don't match their checksums are torn; an intact one in an unknown form is refused with the remedy.

Measured: unknown_form_behind fails without the change (the log opens without the frame) and passes with it; the other tests of storage, replica faults and the control process pass.

--- a/src/control/storage/segment.rs
+++ b/src/control/storage/segment.rs
@@ -1,7 +1,8 @@
 //! Log segments: frames with a checksummed header and a checksummed body.
 //!
 //! Each frame is synced before the next one is written, so only the last frame of the last segment
-//! can be torn. An invalid frame that is followed by a valid one is corruption.
+//! can be torn. An invalid frame that is followed by a valid one is corruption. An intact frame that
+//! can't be decoded has been written by another build, and must not pass for a torn one.
 
 use serde::{Deserialize, Serialize};
 
@@ -60,36 +61,40 @@
 ///
 /// # Errors
 ///
-/// Fails when a frame is corrupt and is not a torn frame at the end of the last segment.
+/// Fails when a frame is corrupt and is not a torn frame at the end of the last segment, or when an
+/// intact frame can't be decoded.
 pub(crate) fn read(bytes: &[u8], is_last: bool) -> Result<(Vec<Record>, usize)> {
     let mut records = Vec::new();
     let mut pos = 0;
     while pos < bytes.len() {
-        let Some((record, len)) = decode_frame(&bytes[pos..]) else {
-            let torn = is_last && !(pos + 1..bytes.len()).any(|at| is_frame(&bytes[at..]));
+        let Some(body) = intact_body(&bytes[pos..]) else {
+            let torn =
+                is_last && !(pos + 1..bytes.len()).any(|at| intact_body(&bytes[at..]).is_some());
             return if torn { Ok((records, pos)) } else { Err(corrupt(pos)) };
         };
-        records.push(record);
-        pos += len;
+        records.push(postcard::from_bytes(body).map_err(|err| unreadable(pos, &err))?);
+        pos += HEADER_LEN + body.len();
     }
     Ok((records, pos))
 }
 
-fn is_frame(bytes: &[u8]) -> bool {
-    decode_frame(bytes).is_some()
-}
-
-fn decode_frame(bytes: &[u8]) -> Option<(Record, usize)> {
+/// Returns the body of the frame that `bytes` begin with if it matches its checksums.
+fn intact_body(bytes: &[u8]) -> Option<&[u8]> {
     let (head, rest) = bytes.split_first_chunk::<HEADER_LEN>()?;
     let word = |at: usize| head[at..at + 4].iter().rev().fold(0, |n, b| n << 8 | u32::from(*b));
     if crc32fast::hash(&head[..8]) != word(8) {
         return None;
     }
-    let len = word(0) as usize;
-    let body = rest.get(..len)?;
-    let intact = crc32fast::hash(body) == word(4);
-    let record = intact.then(|| postcard::from_bytes(body).ok()).flatten()?;
-    Some((record, HEADER_LEN + len))
+    let body = rest.get(..word(0) as usize)?;
+    (crc32fast::hash(body) == word(4)).then_some(body)
+}
+
+#[cold]
+fn unreadable(pos: usize, err: &postcard::Error) -> Error {
+    Error::storage(format!(
+        "cannot decode the intact frame at byte {pos} ({err}); start the version that wrote it, or \
+         move the data folder away"
+    ))
 }
 
 #[cold]
--- a/tests/replica_storage.rs
+++ b/tests/replica_storage.rs
@@ -52,6 +52,26 @@
     }
 }
 
+/// Guards against the loss of acknowledged entries when a build starts on the disk of a newer one: the
+/// last frame, intact but in a form that it can't read, is not a torn one.
+#[test]
+fn unknown_form_behind() {
+    let body = [0xff; 20];
+    let mut frame = (body.len() as u32).to_le_bytes().to_vec();
+    frame.extend(crc32fast::hash(&body).to_le_bytes());
+    frame.extend(crc32fast::hash(&frame).to_le_bytes());
+    frame.extend(body);
+    let disk = disk_with_entries();
+    disk.modify(SEGMENT, |bytes| bytes.extend(&frame));
+    let before = disk.copy();
+    let err = recover(&disk).map(|_| ()).unwrap_err().to_string();
+    assert!(err.contains("start the version that wrote it"), "{err}");
+    let mut lens = [0; 2];
+    before.modify(SEGMENT, |bytes| lens[0] = bytes.len());
+    disk.modify(SEGMENT, |bytes| lens[1] = bytes.len());
+    assert_eq!(lens[0], lens[1], "the frame was cut off");
+}
+
 #[test]
 fn zeros_behind() {
     let disk = disk_with_entries();
