Show that an acknowledged draining state is ignored

Cause: gossip about an unchanged announcement names the server but not its start, so that a control VM that was frozen raises the sequence number of the next start, whose announcements then count as late.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod case_address;
 mod case_leave;
 mod case_order;
+mod case_refresh;
 mod case_writer;
 mod client;
 mod cluster;
@@ -50,6 +51,7 @@
         "order" => case_order::play,
         "leave" => case_leave::play,
         "writer" => case_writer::play,
+        "refresh" => case_refresh::play,
         _ => {
             eprintln!("there is no case {case}");
             process::exit(2);
