Show that an upgrade loses the configuration, in place of a lesser case

Cause: the log on disk has no version, and its form changed after; a control VM of the present build cannot read the disk of that build and ends at its start.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] || exit 2
-exec target/review/standin refresh review/5
+exec target/review/standin writer review/5
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,7 +7,7 @@
 mod case_address;
 mod case_leave;
 mod case_order;
-mod case_refresh;
+mod case_upgrade;
 mod case_writer;
 mod client;
 mod cluster;
@@ -50,8 +50,8 @@
         "address" => case_address::play,
         "order" => case_order::play,
         "leave" => case_leave::play,
+        "upgrade" => case_upgrade::play,
         "writer" => case_writer::play,
-        "refresh" => case_refresh::play,
         _ => {
             eprintln!("there is no case {case}");
             process::exit(2);
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -34,7 +34,12 @@
 impl World {
     /// Starts the deployment and configures it.
     pub fn start() -> World {
-        let cluster = Cluster::start();
+        World::start_build(None)
+    }
+
+    /// Starts the deployment with the programs of the repository in the folder `build`.
+    pub fn start_build(build: Option<&str>) -> World {
+        let cluster = Cluster::start(build);
         cluster.configure(&config(1));
         let stop = Arc::new(AtomicBool::new(false));
         let (seen, flows) = (SharedSeen::default(), Flows::default());
