Carry an order out only while its operator waits

Cause: an order on a zone has no number, so the last one that is proposed wins. The end of the evacuation that had waited in the socket of the suspended VM was carried out after the evacuation that was acknowledged meanwhile: nothing checked that its operator still waited, nor that no later order contradicted it.

Evidence: two explanations, an order carried out anew or a plan of before the suspension that is spread. In the case on the untouched code each VM logs event=plan with a new index (4, then 5) within 2 ms of the wake-up, and the woken VM event=order ... fate=Ordered(Accepted); a plan of before would have had index 2. The line did not say which order it was: it has subject and took_ms now.

Why the fix works: an order is submitted 100 ms after it arrived, and the HTTP server drops the call when its connection has ended; an order and the end of a connection that were held up arrive within a round trip. Before that last look at the connection, the state is read from a quorum; the order names it, and the leader refuses an order whose opposite was proposed after that state. An order that waits later, in a queue or on a link between control VMs, is refused by that, without comparing clocks; the operator gets 503 and sends it again as a new one. A resend is a new reading, so that it is acknowledged. Draining by an operator gets the same check.

No message and no file changes its form: the request of an order was there, unused by this API.

--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -88,6 +88,19 @@
         &self.history
     }
 
+    /// Returns whether the outcome of a request is recorded.
+    pub fn has_outcome(&self, request: Request) -> bool {
+        self.outcomes.contains_key(&request.id)
+    }
+
+    /// Returns the operators' changes after the state with index `made`, or `None` if some of them
+    /// are no longer in the history.
+    pub fn history_after(&self, made: u64) -> Option<&[HistoryEntry]> {
+        let is_whole = self.history.len() < HISTORY_LEN;
+        let first = self.history.partition_point(|entry| entry.index <= made);
+        (is_whole || first > 0).then(|| &self.history[first..])
+    }
+
     /// Applies `change`. Returns its outcome and whether the command was applied to the
     /// configuration.
     ///
--- a/src/control/submit.rs
+++ b/src/control/submit.rs
@@ -90,6 +90,10 @@
             }
         };
         let change = Change { request, author, command };
+        if self.is_overtaken(&change) {
+            self.counters.add(Counter::ChangesOvertaken, 1);
+            return self.reply(follower, ticket, SubmitResult::Ordered(overtaken()), out);
+        }
         match self.replica.propose(now, Payload::Change(change), actions) {
             Some(index) => {
                 let term = self.replica.term();
@@ -99,6 +103,27 @@
         }
     }
 
+    /// Returns whether the opposite of an order was proposed after the order was made.
+    ///
+    /// An order may reach the leader late, as its VM was suspended or a link was cut. By then its
+    /// operator may have sent it again, and an opposite one after it.
+    fn is_overtaken(&self, change: &Change) -> bool {
+        let Some(request) = change.request else { return false };
+        let Some(opposite) = change.command.opposite() else { return false };
+        if self.machine.has_outcome(request) {
+            return false;
+        }
+        let subject = opposite.subject();
+        let is_applied = self.machine.history_after(request.made).is_none_or(|history| {
+            history.iter().any(|entry| Some(&entry.subject) == subject.as_ref())
+        });
+        let unapplied = self.applied + 1..=self.replica.last().index;
+        is_applied
+            || unapplied.filter_map(|index| self.replica.entry(index)).any(|entry| {
+                matches!(&entry.payload, Payload::Change(change) if change.command == opposite)
+            })
+    }
+
     /// Proposes a command of the leader itself; no caller waits for the result.
     pub(super) fn propose_own(
         &mut self,
@@ -187,3 +212,10 @@
         out.push(ControlAction::SubmitResult { ticket, result });
     }
 }
+
+#[cold]
+fn overtaken() -> Outcome {
+    let message = "a later order has undone this one; read the state and send it again under a new \
+                   id if it still holds";
+    Outcome::Refused { message: message.into() }
+}
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -217,6 +217,10 @@
     ChangesUnavailable => "changes_unavailable",
     /// Changes whose outcome was unknown when the answer was due.
     ChangesUnknown => "changes_unknown",
+    /// Orders refused because an opposite one came later than they were made.
+    ChangesOvertaken => "changes_overtaken",
+    /// Orders dropped because their operator had gone before they were submitted.
+    ChangesAbandoned => "changes_abandoned",
     /// Elections won by this control VM.
     ElectionsWon => "elections_won",
     /// Failed writes to the data folder.
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -6,7 +6,7 @@
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 mod event_loop;
@@ -21,10 +21,13 @@
     writer,
 };
 use crate::{
-    control::{ControlEndpoint, ControlNode, DirDisk, Recovered, Storage, SubmitResult},
+    control::{
+        ControlEndpoint, ControlNode, DirDisk, Recovered, Request, Storage, Submission,
+        SubmitResult,
+    },
     cookie::{Announcement, EntryVms, FeedCache, ServerRegistry},
     error::{Error, Result},
-    name::Name,
+    name::{Name, check_name},
     routing_config::RoutingConfig,
     state::{Command, Outcome},
     time::Time,
@@ -39,6 +42,10 @@
 /// Time for a VM that shuts down to hand over leadership: a few round trips.
 const HANDOVER_TIME: Duration = Duration::from_millis(150);
 
+/// Time for which an operator has to wait before an order is submitted: if the operator gave up while
+/// a link was cut, the order and the end of the connection arrive within a round trip of each other.
+const OPERATOR_CHECK_TIME: Duration = Duration::from_millis(100);
+
 /// Settings of a [`Registrar`].
 #[derive(Debug, Clone)]
 pub struct RegistrarSettings {
@@ -63,8 +70,10 @@
 }
 
 enum Call {
-    Submit(Command, oneshot::Sender<SubmitResult>),
-    ReadConfig(oneshot::Sender<Result<Option<Arc<RoutingConfig>>>>),
+    Submit(Submission, oneshot::Sender<SubmitResult>),
+    Read(oneshot::Sender<Result<Reading>>),
+    /// An order was dropped, as its operator had gone.
+    Abandoned,
     Announce(Announcement, oneshot::Sender<Result<()>>),
     Leave(u64, oneshot::Sender<Result<()>>),
     Peer(Vec<PeerFrame>),
@@ -72,6 +81,13 @@
     ShutDown,
 }
 
+/// A reading of the replicated state that no acknowledged change is missing from.
+struct Reading {
+    /// Number of commands applied.
+    index: u64,
+    config: Option<Arc<RoutingConfig>>,
+}
+
 /// Handle to a running control VM.
 #[derive(Clone)]
 pub struct Registrar {
@@ -86,20 +102,36 @@
     /// Fails when the configuration is rejected, and when it is not known to be durable.
     pub async fn replace_config(&self, config: RoutingConfig) -> Result<()> {
         config.check()?;
-        self.submit(Command::Whole(Arc::new(config))).await
+        self.submit(Submission::new(Command::Whole(Arc::new(config)))).await
     }
 
     /// Takes an availability zone out of service, or puts it back.
     ///
+    /// Such orders have no number, so that one that waited, at a VM that was suspended or on a link
+    /// that was cut, could undo those acknowledged since. It is therefore carried out only if no
+    /// later one contradicts it, and if its operator still waits once it has arrived: the returned
+    /// future has to be dropped as soon as the operator has gone.
+    ///
     /// # Errors
     ///
     /// Fails when the name is rejected, and when the change is not known to be durable.
     pub async fn set_zone(&self, zone: &str, out: bool) -> Result<()> {
-        self.submit(Command::Zone { zone: zone.into(), out }).await
+        let command = Command::Zone { zone: check_name(zone)?, out };
+        let mut unsubmitted = UnsubmittedOrder::new(self.calls.clone(), &command);
+        // The reading has to come before the last look at the connection.
+        let (reading, ()) = tokio::join!(self.call(Call::Read), sleep(OPERATOR_CHECK_TIME));
+        unsubmitted.is_pending = false;
+        let request = Request { id: rand::random(), made: reading??.index };
+        let submission = Submission { request: Some(request), ..Submission::new(command) };
+        match self.submit(submission).await {
+            // The operator may send it again, as a new order.
+            Err(err) if err.is_config() => Err(Error::unavailable(err.to_string())),
+            result => result,
+        }
     }
 
-    async fn submit(&self, command: Command) -> Result<()> {
-        match self.call(|reply| Call::Submit(command, reply)).await? {
+    async fn submit(&self, submission: Submission) -> Result<()> {
+        match self.call(|reply| Call::Submit(submission, reply)).await? {
             SubmitResult::Ordered(Outcome::Accepted { .. }) => Ok(()),
             SubmitResult::Ordered(Outcome::Refused { message }) => Err(Error::config(&*message)),
             SubmitResult::Unavailable | SubmitResult::Unknown => Err(outcome_unknown()),
@@ -112,7 +144,7 @@
     ///
     /// Fails when another control VM may have acknowledged a newer one.
     pub async fn read_config(&self) -> Result<Option<Arc<RoutingConfig>>> {
-        self.call(Call::ReadConfig).await?
+        Ok(self.call(Call::Read).await??.config)
     }
 
     /// Shuts down gracefully: leadership moves to another control VM first.
@@ -147,6 +179,32 @@
     }
 }
 
+/// Reports an order whose future is dropped before the order was submitted.
+struct UnsubmittedOrder {
+    calls: mpsc::Sender<Call>,
+    subject: Name,
+    arrived_at: Instant,
+    is_pending: bool,
+}
+
+impl UnsubmittedOrder {
+    fn new(calls: mpsc::Sender<Call>, command: &Command) -> UnsubmittedOrder {
+        let subject = command.subject().unwrap_or_default();
+        UnsubmittedOrder { calls, subject, arrived_at: Instant::now(), is_pending: true }
+    }
+}
+
+impl Drop for UnsubmittedOrder {
+    fn drop(&mut self) {
+        if self.is_pending {
+            let age = self.arrived_at.elapsed().as_millis();
+            log::info!("event=order_abandoned subject={:?} age_ms={age}", self.subject);
+            // A full queue costs no more than a count.
+            _ = self.calls.try_send(Call::Abandoned);
+        }
+    }
+}
+
 #[cold]
 fn outcome_unknown() -> Error {
     Error::unavailable(
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -1,6 +1,6 @@
 //! The event loop of a control VM.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use tokio::{
     net::UdpSocket,
@@ -8,9 +8,9 @@
     time::{Instant, MissedTickBehavior, interval, timeout},
 };
 
-use super::{Call, RegistrarSettings, TICK_INTERVAL};
+use super::{Call, Reading, RegistrarSettings, TICK_INTERVAL};
 use crate::{
-    control::{ControlAction, ControlEvent, ControlNode, Envelope, Submission, SubmitResult},
+    control::{ControlAction, ControlEvent, ControlNode, Envelope, SubmitResult},
     cookie::{
         Announcement, EntryVms, FeedCache, FeedMessage, LoadTable, ServerRecord, ServerRegistry,
         UpdateBatcher, UpdateOutcome,
@@ -24,7 +24,6 @@
     },
     error::{Error, Result},
     name::Name,
-    routing_config::RoutingConfig,
     time::Time,
 };
 
@@ -40,8 +39,9 @@
 
 /// Reply channel of a pending call.
 enum PendingCall {
-    Submit(oneshot::Sender<SubmitResult>),
-    ReadConfig(oneshot::Sender<Result<Option<Arc<RoutingConfig>>>>),
+    /// An order of an operator, and what it changes.
+    Submit(oneshot::Sender<SubmitResult>, Option<Name>),
+    Read(oneshot::Sender<Result<Reading>>),
 }
 
 /// Another control VM, known from its gossip.
@@ -153,13 +153,14 @@
 
     fn handle_call(&mut self, call: Call) {
         match call {
-            Call::Submit(command, reply) => {
-                let ticket = self.add_pending(PendingCall::Submit(reply));
-                let submission = Submission::new(command);
+            Call::Submit(submission, reply) => {
+                let subject = submission.command.subject();
+                let ticket = self.add_pending(PendingCall::Submit(reply, subject));
                 self.handle_event(ControlEvent::Submit { ticket, submission });
             }
-            Call::ReadConfig(reply) => {
-                let ticket = self.add_pending(PendingCall::ReadConfig(reply));
+            Call::Abandoned => self.counters.add(Counter::ChangesAbandoned, 1),
+            Call::Read(reply) => {
+                let ticket = self.add_pending(PendingCall::Read(reply));
                 self.handle_event(ControlEvent::Read { ticket });
             }
             Call::Announce(announcement, reply) => self.announce(announcement, reply),
@@ -335,24 +336,30 @@
             }
             ControlAction::Send { to, envelope } => self.send(to, envelope),
             ControlAction::SubmitResult { ticket, result } => {
-                let Some((since, PendingCall::Submit(reply))) = self.pending.remove(&ticket) else {
+                let Some((since, PendingCall::Submit(reply, subject))) =
+                    self.pending.remove(&ticket)
+                else {
                     return;
                 };
                 self.record(Latency::Order, since);
-                log::info!("event=order ticket={ticket} fate={result:?}");
+                log::info!(
+                    "event=order ticket={ticket} subject={:?} took_ms={} fate={result:?}",
+                    subject.unwrap_or_default(),
+                    self.now().since(since).as_millis()
+                );
                 // If the calling task is gone, its client retries.
                 _ = reply.send(result);
             }
             ControlAction::ReadResult { ticket, fresh } => {
-                let Some((since, PendingCall::ReadConfig(reply))) = self.pending.remove(&ticket)
-                else {
+                let Some((since, PendingCall::Read(reply))) = self.pending.remove(&ticket) else {
                     return;
                 };
                 self.record(Latency::Read, since);
                 self.counters
                     .add(if fresh { Counter::ReadsConfirmed } else { Counter::ReadsUnsure }, 1);
                 let result = if fresh {
-                    Ok(self.node.machine().state().whole.clone())
+                    let state = self.node.state();
+                    Ok(Reading { index: state.index, config: state.whole.clone() })
                 } else {
                     Err(self.node.not_leader_error())
                 };
--- a/src/state.rs
+++ b/src/state.rs
@@ -128,6 +128,18 @@
         }
     }
 
+    /// Returns the order that undoes this one, if it is an order without a number or revision: of
+    /// two such orders, the later one wins.
+    pub(crate) fn opposite(&self) -> Option<Command> {
+        match self {
+            Command::Zone { zone, out } => Some(Command::Zone { zone: zone.clone(), out: !out }),
+            Command::Drain { server, draining } => {
+                Some(Command::Drain { server: server.clone(), draining: !draining })
+            }
+            _ => None,
+        }
+    }
+
     /// Describes what an operator changes with the command, or `None` if it is a report from a VM
     /// of the system.
     pub fn subject(&self) -> Option<Name> {
