Set heartbeats aside that name no server to use

It was enough that the heartbeat lacked maxConcurrency, or that no configuration named its service.

Cause: each announcement that could be parsed counted as a start at its address, and of two servers at one address the earlier one has ended. The parser filled in a missing maxConcurrency and ignored a missing version; the registry did not compare the service with the configuration.

Evidence: event=superseded for the server in the millisecond of the heartbeat, then event=flows_reset reason=superseded at the entry VM. Had it been judged silent instead, an event=judged line would name it: none does.

An announcement of a service that is not named is acknowledged and set aside: it is neither used nor sent to entry VMs, and it ends no server, whether it has the address or the id of another one. The configuration that names the service registers it, with the time at which it was heard. Gossip goes through the same check; a VM without a configuration waits for one. A draining announcement that is set aside is passed on to the other control VMs, as one of them may know a later configuration. Servers that are registered stay so.

--- a/src/cookie/record.rs
+++ b/src/cookie/record.rs
@@ -4,7 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{member::hash, name::Name};
+use crate::{
+    error::{Error, Result},
+    member::hash,
+    name::Name,
+};
 
 /// The state that a backend server announces.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,6 +36,36 @@
     pub slots: u32,
 }
 
+impl Announcement {
+    /// Longest name of a service or an availability zone, in bytes: that of a DNS name.
+    const MAX_NAME_LEN: usize = 255;
+
+    /// Checks that the announcement is of a server that can be used.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a name is empty or too long, when no packet can be sent to the address, and when
+    /// the server has no slot.
+    pub fn check(&self) -> Result<()> {
+        for name in [&self.service, &self.zone] {
+            if name.is_empty() || name.len() > Announcement::MAX_NAME_LEN {
+                let (len, max) = (name.len(), Announcement::MAX_NAME_LEN);
+                let message = format!("a name has {len} bytes; use 1 to {max}");
+                return Err(Error::config(message));
+            }
+        }
+        let ip = self.addr.ip();
+        if self.addr.port() == 0 || ip.is_unspecified() || ip.is_multicast() || ip.is_broadcast() {
+            let message = format!("{} is not the address of a server", self.addr);
+            return Err(Error::config(message));
+        }
+        if self.slots == 0 {
+            return Err(Error::config("the server has no slot; announce at least 1"));
+        }
+        Ok(())
+    }
+}
+
 /// The state of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -3,10 +3,15 @@
 //! It is soft state, built from announcements and from gossip of other control VMs, and is never
 //! written to the replicated log.
 
-use std::{collections::BTreeMap, net::SocketAddrV4, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+    time::Duration,
+};
 
 use crate::{
     cookie::record::{Announcement, ServerRecord, ServerState},
+    name::Name,
     time::Time,
 };
 
@@ -33,6 +38,9 @@
     /// It was ignored: the registered record is as new, the server is gone or, for a sequence
     /// number alone, unknown, or the registry is full.
     Outdated,
+    /// It was set aside until a configuration names the service: anyone may announce servers of
+    /// services that do not exist.
+    Unnamed,
 }
 
 #[derive(Debug, Clone)]
@@ -46,6 +54,15 @@
     pending: Option<UpdateOutcome>,
 }
 
+/// A record set aside because no known configuration names its service.
+#[derive(Debug, Clone)]
+struct SetAside {
+    record: ServerRecord,
+    last_heard: Time,
+    /// Whether it has to be sent to other control VMs once it is registered.
+    forward: bool,
+}
+
 /// The backend servers known to a control VM.
 #[derive(Debug, Clone)]
 pub struct ServerRegistry {
@@ -56,6 +73,10 @@
     /// When silent servers were last determined.
     last_tick: Option<Time>,
     servers: BTreeMap<u64, Registered>,
+    /// The services that the configuration names, or `None` if every service counts as named.
+    services: Option<BTreeSet<Name>>,
+    /// Servers of other services. They are not used, and end no server at their address.
+    set_aside: BTreeMap<u64, SetAside>,
     /// Incarnation and number of the server that started last at each address.
     by_address: BTreeMap<SocketAddrV4, (u64, u64)>,
     /// Servers that ended because another one started at their address.
@@ -70,11 +91,22 @@
             since: now,
             last_tick: None,
             servers: BTreeMap::new(),
+            services: None,
+            set_aside: BTreeMap::new(),
             by_address: BTreeMap::new(),
             superseded: Vec::new(),
         }
     }
 
+    /// Registers servers of these services only; others wait until [`set_services`] names theirs.
+    ///
+    /// [`set_services`]: ServerRegistry::set_services
+    #[must_use]
+    pub fn with_services(mut self, services: BTreeSet<Name>) -> ServerRegistry {
+        self.services = Some(services);
+        self
+    }
+
     /// Adds servers that were registered before this VM went down; one that does not announce
     /// itself again becomes silent like any other.
     #[must_use]
@@ -91,6 +123,37 @@
         self
     }
 
+    /// Sets the services that the configuration names. Returns the servers that were set aside and
+    /// are registered now.
+    ///
+    /// Servers of a service that is no longer named stay registered: their flows go on.
+    pub fn set_services(&mut self, services: BTreeSet<Name>) -> Vec<ServerRecord> {
+        let is_named =
+            |_: &u64, server: &mut SetAside| services.contains(&server.record.announcement.service);
+        let named: Vec<_> = self.set_aside.extract_if(.., is_named).collect();
+        self.services = Some(services);
+        let mut registered = Vec::new();
+        for (id, SetAside { record, last_heard, forward }) in named {
+            if self.update(last_heard, record, forward) != UpdateOutcome::Outdated {
+                registered.extend(self.get(id).cloned());
+            }
+        }
+        registered
+    }
+
+    /// Returns the number of servers whose service is not named.
+    pub fn unnamed(&self) -> usize {
+        self.set_aside.len()
+    }
+
+    /// Returns whether `record` is of a server that may be used: its service is named, or was when
+    /// the server was registered.
+    pub fn is_named(&self, record: &ServerRecord) -> bool {
+        let Announcement { id, service, .. } = &record.announcement;
+        self.services.as_ref().is_none_or(|services| services.contains(service))
+            || self.get(*id).is_some_and(|held| held.announcement.service == *service)
+    }
+
     /// Returns for how long the registry has received announcements.
     pub fn age(&self, now: Time) -> Duration {
         now.since(self.since)
@@ -111,9 +174,14 @@
         self.update(now, ServerRecord::new(announcement), true)
     }
 
-    /// Marks a server that has left as gone; returns its record if it was registered.
+    /// Marks a server that has left as gone; returns its record if it was known.
     pub fn leave(&mut self, now: Time, id: u64) -> Option<ServerRecord> {
-        let server = self.servers.get_mut(&id)?;
+        let Some(server) = self.servers.get_mut(&id) else {
+            let server = self.set_aside.get_mut(&id)?;
+            server.record.state = ServerState::Gone;
+            (server.last_heard, server.forward) = (now, true);
+            return Some(server.record.clone());
+        };
         server.record.state = ServerState::Gone;
         server.last_heard = now;
         server.pending = Some(UpdateOutcome::Changed);
@@ -134,13 +202,18 @@
     /// Applies a record; with `forward` set, it has to be sent to other control VMs.
     fn update(&mut self, now: Time, mut record: ServerRecord, forward: bool) -> UpdateOutcome {
         record.silent = false;
+        if !self.is_named(&record) {
+            return self.set_aside(now, record, forward);
+        }
         let id = record.announcement.id;
         let before = self.servers.get(&id).map(|server| &server.record);
         if before.is_some_and(|before| record.version() <= before.version())
-            || (before.is_none() && self.servers.len() >= MAX_SERVERS)
+            || (before.is_none() && self.is_full())
         {
             return UpdateOutcome::Outdated;
         }
+        // What was set aside under this number is not of this server.
+        self.set_aside.remove(&id);
         self.end_predecessor(&record);
         self.record_address(&record);
         if self.is_superseded(&record) {
@@ -166,6 +239,23 @@
         outcome
     }
 
+    fn set_aside(&mut self, now: Time, record: ServerRecord, forward: bool) -> UpdateOutcome {
+        let id = record.announcement.id;
+        let before = self.set_aside.get(&id);
+        if before.is_some_and(|before| record.version() <= before.record.version())
+            || (before.is_none() && self.is_full())
+        {
+            return UpdateOutcome::Outdated;
+        }
+        let forward = forward || before.is_some_and(|before| before.forward);
+        self.set_aside.insert(id, SetAside { record, last_heard: now, forward });
+        UpdateOutcome::Unnamed
+    }
+
+    fn is_full(&self) -> bool {
+        self.servers.len() + self.set_aside.len() >= MAX_SERVERS
+    }
+
     /// Marks the server that had the address of `record` before as gone.
     fn end_predecessor(&mut self, record: &ServerRecord) {
         let Announcement { addr, incarnation, id, .. } = record.announcement;
@@ -210,6 +300,7 @@
         if gone || sequence <= server.record.announcement.sequence {
             return UpdateOutcome::Outdated;
         }
+        self.set_aside.remove(&id);
         server.record.announcement.sequence = sequence;
         server.last_heard = now;
         let was_silent = std::mem::replace(&mut server.record.silent, false);
@@ -277,6 +368,7 @@
             }
         }
         self.servers.retain(|_, server| now.since(server.last_heard) < GONE_RETENTION);
+        self.set_aside.retain(|_, server| now.since(server.last_heard) < GONE_RETENTION);
         let servers = &self.servers;
         self.by_address.retain(|_, (_, id)| servers.contains_key(id));
         changed
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -99,6 +99,8 @@
     AnnouncementsSame => "announcements_same",
     /// Announcements ignored, as a rule because a newer one was known.
     AnnouncementsLate => "announcements_late",
+    /// Announcements set aside because no configuration names their service.
+    AnnouncementsUnnamed => "announcements_unnamed",
     /// Reserved for ends of backend servers that no other VM confirmed in time; not incremented.
     AnnouncementsUnconfirmed => "announcements_unconfirmed",
     /// Backend servers whose announcements stopped.
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -68,6 +68,8 @@
     RegistryAge,
     /// Known backend servers.
     Servers,
+    /// Backend servers that wait for a configuration to name their service.
+    ServersUnnamed,
     /// Flows with recent packets.
     Flows,
     /// Entry VMs subscribed to the feed.
@@ -89,12 +91,13 @@
 }
 
 impl Gauge {
-    const ALL: [Gauge; 14] = [
+    const ALL: [Gauge; 15] = [
         Gauge::PlanIndex,
         Gauge::PlanNumber,
         Gauge::PlanAge,
         Gauge::RegistryAge,
         Gauge::Servers,
+        Gauge::ServersUnnamed,
         Gauge::Flows,
         Gauge::Subscribers,
         Gauge::LinkBudget,
@@ -113,6 +116,7 @@
             Gauge::PlanAge => "plan_age_ms",
             Gauge::RegistryAge => "registry_age_ms",
             Gauge::Servers => "servers_known",
+            Gauge::ServersUnnamed => "servers_unnamed",
             Gauge::Flows => "flows_seen",
             Gauge::Subscribers => "subscribers",
             Gauge::LinkBudget => "link_budget_bytes",
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -249,8 +249,10 @@
     tokio::spawn(accept(listener, calls.clone()));
     let (events, storage_events) = mpsc::unbounded_channel();
     let writer_jobs = writer::start(settings.data.clone(), storage, events, metrics.clone());
-    let registry =
-        ServerRegistry::new(Time::ZERO, settings.announce_interval).with_cached(cache.records);
+    let services = cache.plan.iter().flat_map(|plan| plan.config.services.keys().cloned());
+    let registry = ServerRegistry::new(Time::ZERO, settings.announce_interval)
+        .with_services(services.collect())
+        .with_cached(cache.records);
     let (reports, load_reports) = mpsc::channel(QUEUE_LEN);
     let publisher = Publisher::new(cache.plan, reports);
     let (connected, connections) = mpsc::unbounded_channel();
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -143,7 +143,23 @@
                 },
                 _ = ticks.tick() => self.tick(),
             }
-            self.unsaved |= self.publisher.publish(self.node.state());
+            if self.publisher.publish(self.node.state()) {
+                self.name_services();
+            }
+        }
+    }
+
+    /// Tells the registry which services the new plan names.
+    fn name_services(&mut self) {
+        self.unsaved = true;
+        let Some(plan) = self.publisher.plan() else { return };
+        let named = self.registry.set_services(plan.config.services.keys().cloned().collect());
+        let mut records = self.registry.take_superseded();
+        records.iter().for_each(|record| log_record("superseded", record));
+        named.iter().for_each(|record| log_record("named", record));
+        records.extend(named);
+        if !records.is_empty() {
+            self.publish_records(records, None);
         }
     }
 
@@ -193,15 +209,23 @@
     fn announce(&mut self, announcement: Announcement, reply: oneshot::Sender<Result<()>>) {
         let now = self.now();
         let (id, draining) = (announcement.id, announcement.draining);
+        let record = draining.then(|| ServerRecord::new(announcement.clone()));
         let outcome = self.registry.announce(now, announcement);
         self.counters.add(
             match outcome {
                 UpdateOutcome::Changed => Counter::AnnouncementsChanged,
                 UpdateOutcome::Unchanged => Counter::AnnouncementsSame,
                 UpdateOutcome::Outdated => Counter::AnnouncementsLate,
+                UpdateOutcome::Unnamed => Counter::AnnouncementsUnnamed,
             },
             1,
         );
+        if outcome == UpdateOutcome::Unnamed {
+            // Another control VM may have a later configuration, which names the service.
+            record.into_iter().for_each(|record| self.send_unnamed(record));
+            _ = reply.send(Ok(()));
+            return;
+        }
         let record = self.registry.get(id).filter(|_| outcome != UpdateOutcome::Outdated).cloned();
         match record {
             Some(record) if outcome == UpdateOutcome::Changed || draining => {
@@ -246,6 +270,10 @@
 
     fn leave(&mut self, id: u64, reply: oneshot::Sender<Result<()>>) {
         match self.registry.leave(self.now(), id) {
+            Some(record) if !self.registry.is_named(&record) => {
+                self.send_unnamed(record);
+                _ = reply.send(Ok(()));
+            }
             Some(record) => {
                 log_record("left", &record);
                 let delivered = self.broadcast(vec![record]);
@@ -255,13 +283,22 @@
         }
     }
 
+    /// Sends the end of a server whose service is not named to the other control VMs.
+    fn send_unnamed(&mut self, record: ServerRecord) {
+        self.send_gossip(false, vec![record], Vec::new(), None);
+    }
+
     fn handle_frames(&mut self, frames: Vec<PeerFrame>) {
         for frame in frames {
             match frame {
                 PeerFrame::Log(envelope) => self.handle_event(ControlEvent::Message(envelope)),
                 PeerFrame::Gossip(gossip) => self.handle_gossip(gossip),
                 PeerFrame::PlanRequest(from) => self.send_plan(from),
-                PeerFrame::Plan(plan) => self.unsaved |= self.publisher.adopt(plan),
+                PeerFrame::Plan(plan) => {
+                    if self.publisher.adopt(plan) {
+                        self.name_services();
+                    }
+                }
                 PeerFrame::EntryVms(addrs) => {
                     self.entry_vms.record_served(self.now(), addrs);
                     self.unsaved = true;
@@ -393,6 +430,7 @@
         metrics.set(Gauge::PlanNumber, number);
         metrics.set(Gauge::RegistryAge, self.registry.age(now).as_millis() as u64);
         metrics.set(Gauge::Servers, self.registry.records().count() as u64);
+        metrics.set(Gauge::ServersUnnamed, self.registry.unnamed() as u64);
         metrics.set(Gauge::Subscribers, self.publisher.subscribers() as u64);
     }
 
--- /dev/null
+++ b/tests/other_writers.rs
@@ -0,0 +1,144 @@
+//! Announcements of other writers, which name no server to use: they change nothing for the servers
+//! that live.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use galenatrail::{
+    Announcement, Name, ServerRecord, ServerRegistry, ServerState, Time, UpdateOutcome,
+};
+
+#[path = "support/cookie.rs"]
+mod cookie;
+
+use cookie::{PERIOD, announcement, at};
+
+fn services(names: &[&str]) -> BTreeSet<Name> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
+/// Returns a registry of a VM whose configuration names the service hub.
+fn registry() -> ServerRegistry {
+    ServerRegistry::new(Time::ZERO, PERIOD).with_services(services(&["hub"]))
+}
+
+/// Returns an announcement, for a service that is not named, with the address of server 1.
+fn unnamed(id: u64) -> Announcement {
+    let addr = announcement(1, "a").addr;
+    Announcement { service: "other".into(), addr, incarnation: 9_000, ..announcement(id, "a") }
+}
+
+/// Guards against flows that are reset because a heartbeat for a service without a configuration
+/// gives the address of their server.
+#[test]
+fn an_unnamed_service_does_not_end_the_server_at_its_address() {
+    let (mut first, mut second) = (registry(), registry());
+    for registry in [&mut first, &mut second] {
+        registry.announce(at(10), announcement(1, "a"));
+    }
+    assert_eq!(first.announce(at(20), unnamed(2)), UpdateOutcome::Unnamed);
+    assert_eq!(second.merge(at(30), ServerRecord::new(unnamed(2))), UpdateOutcome::Unnamed);
+    for registry in [&mut first, &mut second] {
+        assert_eq!(registry.take_superseded(), []);
+        assert_eq!(registry.tick(at(40)), []);
+        assert_eq!(registry.get(1).unwrap().state, ServerState::Ready);
+        assert_eq!(registry.records().count(), 1, "entry VMs do not learn of it");
+    }
+    first.take_pending();
+    let next = Announcement { sequence: 2, ..announcement(1, "a") };
+    assert_eq!(first.announce(at(1_200), next), UpdateOutcome::Unchanged, "it lives");
+}
+
+/// Guards against a server that is lost because a heartbeat for a service without a configuration
+/// has its id.
+#[test]
+fn an_unnamed_service_does_not_replace_the_server_with_its_id() {
+    let mut registry = registry();
+    let draining = Announcement { draining: true, sequence: 3, ..announcement(1, "a") };
+    registry.announce(at(10), draining);
+    assert_eq!(registry.announce(at(20), unnamed(1)), UpdateOutcome::Unnamed);
+    let held = registry.get(1).unwrap();
+    assert_eq!((&*held.announcement.service, held.state), ("hub", ServerState::Draining));
+    let next = Announcement { draining: true, sequence: 4, ..announcement(1, "a") };
+    assert_eq!(registry.announce(at(1_200), next), UpdateOutcome::Unchanged);
+}
+
+/// Guards against servers that are not used although a later configuration names their service.
+#[test]
+fn servers_are_registered_once_their_service_is_named() {
+    let mut registry = registry();
+    registry.announce(at(10), announcement(1, "a"));
+    registry.announce(at(1_000), unnamed(2));
+    let draining = Announcement { draining: true, sequence: 2, ..unnamed(3) };
+    registry.announce(at(1_000), Announcement { addr: announcement(3, "a").addr, ..draining });
+    registry.take_pending();
+    let named = registry.set_services(services(&["hub", "other"]));
+    let states: Vec<_> =
+        named.iter().map(|record| (record.announcement.id, record.state)).collect();
+    assert_eq!(states, [(2, ServerState::Ready), (3, ServerState::Draining)]);
+    // From now on, its address is that of a server to use.
+    assert_eq!(registry.take_superseded().len(), 1);
+    assert_eq!(registry.get(1).unwrap().state, ServerState::Gone);
+    assert_eq!(registry.take_pending().0.len(), 2, "other control VMs are told");
+    assert_eq!(registry.set_services(services(&["hub", "other"])), []);
+}
+
+/// Guards against a VM that ends or forgets servers while it does not know the configuration.
+#[test]
+fn without_a_configuration_all_servers_wait_for_one() {
+    let mut registry = ServerRegistry::new(Time::ZERO, PERIOD).with_services(BTreeSet::new());
+    assert_eq!(registry.announce(at(10), announcement(1, "a")), UpdateOutcome::Unnamed);
+    assert_eq!(registry.announce(at(20), unnamed(2)), UpdateOutcome::Unnamed);
+    let gone = ServerRecord { state: ServerState::Gone, ..ServerRecord::new(announcement(4, "a")) };
+    assert_eq!(registry.merge(at(20), gone), UpdateOutcome::Unnamed);
+    let named = registry.set_services(services(&["hub"]));
+    let states: Vec<_> =
+        named.iter().map(|record| (record.announcement.id, record.state)).collect();
+    assert_eq!(states, [(1, ServerState::Ready), (4, ServerState::Gone)]);
+    assert_eq!(registry.take_superseded(), []);
+    let pending = registry.take_pending().0;
+    assert_eq!(pending.len(), 1, "only its own announcements are passed on");
+}
+
+/// Guards against saved servers, or those of a service that is no longer named, that are lost.
+#[test]
+fn registered_servers_stay_registered() {
+    let cached = vec![ServerRecord::new(announcement(1, "a"))];
+    let mut registry =
+        ServerRegistry::new(Time::ZERO, PERIOD).with_services(BTreeSet::new()).with_cached(cached);
+    let next = Announcement { sequence: 2, draining: true, ..announcement(1, "a") };
+    assert_eq!(registry.announce(at(10), next), UpdateOutcome::Changed);
+    registry.set_services(services(&["desk"]));
+    let next = Announcement { sequence: 3, draining: true, ..announcement(1, "a") };
+    assert_eq!(registry.announce(at(30), next), UpdateOutcome::Unchanged);
+    assert_eq!(registry.get(1).unwrap().state, ServerState::Draining);
+}
+
+/// Guards against a server that leaves before its service is named, and is used afterwards.
+#[test]
+fn an_unnamed_server_that_leaves_is_gone_once_it_is_named() {
+    let mut registry = registry();
+    registry.announce(at(10), unnamed(2));
+    let left = registry.leave(at(20), 2).expect("other VMs may know its service");
+    assert_eq!(left.state, ServerState::Gone);
+    assert_eq!(
+        registry.announce(at(30), Announcement { sequence: 2, ..unnamed(2) }),
+        UpdateOutcome::Outdated
+    );
+    registry.set_services(services(&["hub", "other"]));
+    assert_eq!(registry.get(2).unwrap().state, ServerState::Gone);
+}
+
+/// Guards against announcements of invented servers that fill the memory or stay for ever.
+#[test]
+fn unnamed_servers_are_bounded_and_forgotten() {
+    let mut registry = registry();
+    registry.announce(at(0), unnamed(2));
+    registry.tick(at(119_000));
+    assert_eq!(registry.unnamed(), 1);
+    registry.tick(at(120_000));
+    assert_eq!(registry.unnamed(), 0);
+    for id in 0..80_000 {
+        registry.announce(at(120_000) + Duration::from_millis(1), unnamed(id + 2));
+    }
+    assert!(registry.unnamed() <= 70_000, "{}", registry.unnamed());
+}
