Refuse an excessive number of slots

Callers would see: nothing is forwarded by entry VMs built with overflow checks, which end again and again; in release builds the sum of the slots wraps. One heartbeat of another writer with maxConcurrency, for a service that is named, is enough.

Cause: the number was taken as it came, and the ring of servers and the zones' shares add it up in 32 bits.

Evidence: the test panics in ServerRing::update with "attempt to add with overflow" (server_ring.rs, the sum over the servers) with the limit on announcements alone in place.

Why the fix works: an announcement with more than 16,384 slots names no server to use. It is refused where it arrives, and a record with it (from a control VM of an earlier build) is ignored by the registry and by entry VMs. Sums over all servers of the design size fit.

Red before: an_excessive_number_of_slots_is_refused_and_does_no_harm, both halves.

--- a/src/cookie/directory.rs
+++ b/src/cookie/directory.rs
@@ -169,7 +169,9 @@
         record.silent = false;
         let id = record.announcement.id;
         let known = self.servers.get(&id);
-        if known.is_some_and(|known| record.version() <= known.record.version()) {
+        if known.is_some_and(|known| record.version() <= known.record.version())
+            || record.announcement.check().is_err()
+        {
             return;
         }
         if let Some(known) = known
--- a/src/cookie/record.rs
+++ b/src/cookie/record.rs
@@ -40,12 +40,15 @@
     /// Longest name of a service or an availability zone, in bytes: that of a DNS name.
     const MAX_NAME_LEN: usize = 255;
 
+    /// Most slots of a server. Sums over all servers of a system fit 32 bits, twice over.
+    const MAX_SLOTS: u32 = 16_384;
+
     /// Checks that the announcement is of a server that can be used.
     ///
     /// # Errors
     ///
     /// Fails when a name is empty or too long, when no packet can be sent to the address, and when
-    /// the server has no slot.
+    /// the server has no slot or more than a server can have.
     pub fn check(&self) -> Result<()> {
         for name in [&self.service, &self.zone] {
             if name.is_empty() || name.len() > Announcement::MAX_NAME_LEN {
@@ -59,8 +62,10 @@
             let message = format!("{} is not the address of a server", self.addr);
             return Err(Error::config(message));
         }
-        if self.slots == 0 {
-            return Err(Error::config("the server has no slot; announce at least 1"));
+        let max = Announcement::MAX_SLOTS;
+        if !(1..=max).contains(&self.slots) {
+            let message = format!("the server has {} slots; announce 1 to {max}", self.slots);
+            return Err(Error::config(message));
         }
         Ok(())
     }
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -36,7 +36,7 @@
     /// Only the sequence number and the time of the last announcement changed.
     Unchanged,
     /// It was ignored: the registered record is as new, the server is gone or, for a sequence
-    /// number alone, unknown, or the registry is full.
+    /// number alone, unknown, it names no server to use, or the registry is full.
     Outdated,
     /// It was set aside until a configuration names the service: anyone may announce servers of
     /// services that do not exist.
@@ -202,6 +202,9 @@
     /// Applies a record; with `forward` set, it has to be sent to other control VMs.
     fn update(&mut self, now: Time, mut record: ServerRecord, forward: bool) -> UpdateOutcome {
         record.silent = false;
+        if record.announcement.check().is_err() {
+            return UpdateOutcome::Outdated;
+        }
         if !self.is_named(&record) {
             return self.set_aside(now, record, forward);
         }
--- a/tests/other_writers.rs
+++ b/tests/other_writers.rs
@@ -4,13 +4,14 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use galenatrail::{
-    Announcement, Name, ServerRecord, ServerRegistry, ServerState, Time, UpdateOutcome,
+    Announcement, FeedMessage, FlowVerdict, Name, ServerRecord, ServerRegistry, ServerState, Time,
+    UpdateOutcome,
 };
 
 #[path = "support/cookie.rs"]
 mod cookie;
 
-use cookie::{PERIOD, announcement, at};
+use cookie::{PERIOD, announcement, at, control_addr, forwarder, opening, plan};
 
 fn services(names: &[&str]) -> BTreeSet<Name> {
     names.iter().map(|name| (*name).into()).collect()
@@ -142,3 +143,30 @@
     }
     assert!(registry.unnamed() <= 70_000, "{}", registry.unnamed());
 }
+
+/// Guards against an announcement with an invented number of slots that ends the entry VMs which
+/// read it, or stops them from selecting other servers.
+#[test]
+fn an_excessive_number_of_slots_is_refused_and_does_no_harm() {
+    for slots in [0, 16_385, u32::MAX] {
+        assert!(Announcement { slots, ..announcement(1, "a") }.check().is_err(), "{slots} slots");
+    }
+    assert!(Announcement { slots: 16_384, ..announcement(1, "a") }.check().is_ok());
+    // A control VM of an earlier build may still send it.
+    let servers = [1, 2, 3].map(|id| {
+        let slots = if id < 3 { u32::MAX } else { 2 };
+        Announcement { slots, ..announcement(id, "a") }
+    });
+    let mut forwarder = forwarder(&servers);
+    let mut used = BTreeSet::new();
+    for port in 1..100 {
+        let now = at(10 * u64::from(port));
+        match forwarder.decide(now, &opening(1, port), false) {
+            FlowVerdict::Forward { id, .. } => used.insert(id),
+            other => panic!("not forwarded: {other:?}"),
+        };
+        forwarder.tick(now);
+    }
+    forwarder.handle_feed(at(1_000), control_addr(), FeedMessage::Plan(plan(2, &["b"])));
+    assert!(used.contains(&3), "{used:?}");
+}
