End a server only at the address of its present start

Cause: registry and entry VMs remember for each address the id that started last there. A later start at the address ended whatever was registered under that id, also a start at another address.

The test without processes shows both halves: the registry's record is Gone, and the entry VM resets the flow.

Why the fix works: a server ends only if its record is still that start at that address.

Red before: a_server_that_moved_outlives_the_next_one_at_its_former_address (state Gone) and servers_may_exchange_their_addresses (order [0, 1]).

--- a/src/cookie/directory.rs
+++ b/src/cookie/directory.rs
@@ -189,14 +189,16 @@
     }
 
     /// Records which server started last at the address of `record`. Of two servers that have had
-    /// an address, the one that started first has ended.
+    /// an address, the one that started first has ended, unless it has started again elsewhere.
     fn record_address(&mut self, record: &ServerRecord) {
         let Announcement { addr, incarnation, id, .. } = record.announcement;
         let latest = self.by_address.entry(addr).or_insert((incarnation, id));
         let (first, last) = ((*latest).min((incarnation, id)), (*latest).max((incarnation, id)));
         *latest = last;
         let cookie = server_cookie(first.1);
-        let holds = self.cookies.get(&cookie) == Some(&first.1);
+        let is_there = |server: &Server| server.record.announcement.is_start_at(first.0, addr);
+        let holds = self.cookies.get(&cookie) == Some(&first.1)
+            && (first.1 == id || self.servers.get(&first.1).is_some_and(is_there));
         if first.0 < last.0 && first.1 != last.1 && holds {
             self.superseded.insert(cookie);
         }
--- a/src/cookie/record.rs
+++ b/src/cookie/record.rs
@@ -43,6 +43,11 @@
     /// Most slots of a server. Sums over all servers of a system fit 32 bits, twice over.
     const MAX_SLOTS: u32 = 16_384;
 
+    /// Returns whether the server is in its start `incarnation` and has the address `addr`.
+    pub(super) fn is_start_at(&self, incarnation: u64, addr: SocketAddrV4) -> bool {
+        self.incarnation == incarnation && self.addr == addr
+    }
+
     /// Checks that the announcement is of a server that can be used.
     ///
     /// # Errors
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -259,7 +259,8 @@
         self.servers.len() + self.set_aside.len() >= MAX_SERVERS
     }
 
-    /// Marks the server that had the address of `record` before as gone.
+    /// Marks the server that had the address of `record` before as gone, unless it has started again
+    /// at another address since.
     fn end_predecessor(&mut self, record: &ServerRecord) {
         let Announcement { addr, incarnation, id, .. } = record.announcement;
         let Some(&(earlier, previous)) = self.by_address.get(&addr) else { return };
@@ -267,6 +268,7 @@
             return;
         }
         if let Some(server) = self.servers.get_mut(&previous)
+            && server.record.announcement.is_start_at(earlier, addr)
             && server.record.state != ServerState::Gone
         {
             server.record.state = ServerState::Gone;
--- a/tests/superseded_server.rs
+++ b/tests/superseded_server.rs
@@ -111,3 +111,53 @@
     assert_eq!(registry.take_superseded(), []);
     assert_eq!(registry.get(2).unwrap().state, ServerState::Ready);
 }
+
+/// Guards against a server that is taken for gone since its address of an earlier start is used again.
+#[test]
+fn a_server_that_moved_outlives_the_next_one_at_its_former_address() {
+    let former = announcement(1, "a");
+    let moved =
+        Announcement { incarnation: 2_000, addr: announcement(7, "a").addr, ..former.clone() };
+    let mut registry = ServerRegistry::new(Time::ZERO, PERIOD);
+    let mut forwarder = forwarder(std::slice::from_ref(&former));
+    registry.announce(at(0), former.clone());
+    registry.announce(at(10), moved.clone());
+    announce(&mut forwarder, at(10), vec![moved]);
+    let packet = open_flow(&mut forwarder, at(20), 1, 77);
+    registry.announce(at(3_000), successor(2, &former));
+    announce(&mut forwarder, at(3_000), vec![successor(2, &former)]);
+    assert_eq!(registry.take_superseded(), []);
+    assert_eq!(registry.tick(at(3_010)), []);
+    assert_eq!(registry.get(1).unwrap().state, ServerState::Ready);
+    assert_eq!(forwarder.take_resets(), []);
+    assert_eq!(expect_forward(forwarder.decide(at(3_020), &packet, false)).0, 1);
+}
+
+/// Guards against servers that exchange their addresses when they start again, in any order in which
+/// their announcements arrive.
+#[test]
+fn servers_may_exchange_their_addresses() {
+    let (first, second) = (announcement(1, "a"), announcement(2, "a"));
+    let again = [
+        Announcement { incarnation: 3_000, addr: second.addr, ..first.clone() },
+        Announcement { incarnation: 4_000, addr: first.addr, ..second.clone() },
+    ];
+    for order in [[0, 1], [1, 0]] {
+        let mut registry = ServerRegistry::new(Time::ZERO, PERIOD);
+        let mut forwarder = forwarder(&[first.clone(), second.clone()]);
+        registry.announce(at(0), first.clone());
+        registry.announce(at(0), second.clone());
+        for place in order {
+            registry.announce(at(100), again[place].clone());
+            announce(&mut forwarder, at(100), vec![again[place].clone()]);
+        }
+        registry.tick(at(200));
+        assert!(registry.records().all(|record| record.state == ServerState::Ready), "{order:?}");
+        let mut used: Vec<_> = (1..30)
+            .map(|port| expect_forward(forwarder.decide(at(200), &opening(1, port), false)).0)
+            .collect();
+        used.sort_unstable();
+        used.dedup();
+        assert_eq!(used, [1, 2], "{order:?}");
+    }
+}
