Do not take a refresh of an earlier start for one of the present start

Cause: gossip about an announcement without a change names the server and a sequence number, not the start. A control VM that had been suspended passed on the number of the earlier start, and the others took it for one of the present start, so that all that followed counted as late.

Evidence: the registry alone shows it: after a refresh with the number 40 of the earlier start, announcement 2 of the present one is Outdated, and the record holds 40. A full record of the earlier start is refused by its start.

Why the fix works: for 120 s after a server was registered in place of an earlier start, a refresh shows that the server is heard and its number is not taken; messages are delayed by less. The form of gossip does not change, so that VMs of two builds go on understanding each other, and its cost stays as it is.

Red before: a_refresh_of_an_earlier_start_does_not_make_later_announcements_late (Outdated instead of Unchanged) and a_server_that_started_again_is_heard_through_other_control_vms (silent at announcement 3).

--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -47,6 +47,8 @@
 struct Registered {
     record: ServerRecord,
     last_heard: Time,
+    /// When it was registered in place of an earlier start.
+    restarted_at: Option<Time>,
     /// When it is warm, as entry VMs know it.
     cold_until: Time,
     /// What has yet to be sent to other control VMs: a changed record, or only that the server
@@ -117,7 +119,8 @@
             self.record_address(&record);
             let id = record.announcement.id;
             let cold_until = last_heard + record.announcement.warmup_left;
-            let registered = Registered { record, last_heard, cold_until, pending: None };
+            let registered =
+                Registered { record, last_heard, restarted_at: None, cold_until, pending: None };
             self.servers.insert(id, registered);
         }
         self
@@ -238,7 +241,12 @@
         let unsent = before.and_then(|before| before.pending);
         let unsent = unsent.filter(|pending| *pending == UpdateOutcome::Changed);
         let pending = unsent.or(forward.then_some(outcome));
-        self.servers.insert(id, Registered { record, last_heard: now, cold_until, pending });
+        let restarted_at = before.and_then(|before| {
+            let earlier = before.record.announcement.incarnation < record.announcement.incarnation;
+            if earlier { Some(now) } else { before.restarted_at }
+        });
+        let registered = Registered { record, last_heard: now, restarted_at, cold_until, pending };
+        self.servers.insert(id, registered);
         outcome
     }
 
@@ -299,6 +307,10 @@
     }
 
     /// Registers that another control VM received an announcement without a change.
+    ///
+    /// It does not say of which start. For 120 s after a server has started again, it may have been
+    /// delayed and be about the earlier start, whose sequence numbers are higher: it then shows that
+    /// the server is heard, and its number is not taken.
     pub fn refresh(&mut self, now: Time, id: u64, sequence: u64) -> UpdateOutcome {
         let Some(server) = self.servers.get_mut(&id) else { return UpdateOutcome::Outdated };
         let gone = server.record.state == ServerState::Gone;
@@ -306,7 +318,10 @@
             return UpdateOutcome::Outdated;
         }
         self.set_aside.remove(&id);
-        server.record.announcement.sequence = sequence;
+        let is_ambiguous = server.restarted_at.is_some_and(|at| now.since(at) < GONE_RETENTION);
+        if !is_ambiguous {
+            server.record.announcement.sequence = sequence;
+        }
         server.last_heard = now;
         let was_silent = std::mem::replace(&mut server.record.silent, false);
         if was_silent { UpdateOutcome::Changed } else { UpdateOutcome::Unchanged }
--- a/tests/server_registry.rs
+++ b/tests/server_registry.rs
@@ -226,3 +226,38 @@
     let left = registry.get(1).unwrap().announcement.warmup_left;
     assert_eq!(left, Duration::from_millis(200));
 }
+
+/// Guards against announcements that count as late, draining ones too, since a control VM that was
+/// suspended passes on those of an earlier start.
+#[test]
+fn a_refresh_of_an_earlier_start_does_not_make_later_announcements_late() {
+    let mut registry = registry();
+    registry.announce(at(0), Announcement { sequence: 39, ..announcement(1, "a") });
+    let restarted = Announcement { incarnation: 2_000, ..announcement(1, "a") };
+    registry.announce(at(2_000), restarted.clone());
+    registry.refresh(at(4_000), 1, 40);
+    let next = Announcement { sequence: 2, ..restarted.clone() };
+    assert_eq!(registry.announce(at(4_100), next), UpdateOutcome::Unchanged);
+    registry.refresh(at(4_200), 1, 41);
+    let draining = Announcement { sequence: 3, draining: true, ..restarted };
+    assert_eq!(registry.announce(at(5_200), draining), UpdateOutcome::Changed);
+    assert_eq!(registry.get(1).unwrap().state, ServerState::Draining);
+}
+
+/// Guards against a server that started again and counts as silent where it is heard through other
+/// control VMs only.
+#[test]
+fn a_server_that_started_again_is_heard_through_other_control_vms() {
+    let mut registry = registry();
+    registry.announce(at(0), Announcement { sequence: 39, ..announcement(1, "a") });
+    registry.announce(at(2_000), Announcement { incarnation: 2_000, ..announcement(1, "a") });
+    registry.refresh(at(2_400), 1, 40);
+    for sequence in 2..30 {
+        let now = at(2_000 + 1_200 * sequence);
+        registry.refresh(now, 1, sequence);
+        for step in 0..3 {
+            let changed = registry.tick(now + Duration::from_millis(400 * step));
+            assert_eq!(changed, [], "announcement {sequence}");
+        }
+    }
+}
