Take a leave only while its server waits

Cause: the report that a server leaves names no start. One that a cut had held up was carried out seconds after its sender had given up and exited, and ended the start that was registered by then.

Why the fix works: the same as for orders on zones: the report is carried out 100 ms after it has arrived, and dropped with its connection; a report and the end of a connection that were held up arrive within a round trip. A server that leaves waits for the answer, which still comes within a second (100 ms, and 700 ms at most for another VM). To count only a leave after a draining announcement was weighed and left: a control VM may not know of it yet.

--- a/src/counter.rs
+++ b/src/counter.rs
@@ -221,7 +221,7 @@
     ChangesUnknown => "changes_unknown",
     /// Orders refused because an opposite one came later than they were made.
     ChangesOvertaken => "changes_overtaken",
-    /// Orders dropped because their operator had gone before they were submitted.
+    /// Orders and leaves dropped because their caller had gone before they were carried out.
     ChangesAbandoned => "changes_abandoned",
     /// Elections won by this control VM.
     ElectionsWon => "elections_won",
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -42,9 +42,10 @@
 /// Time for a VM that shuts down to hand over leadership: a few round trips.
 const HANDOVER_TIME: Duration = Duration::from_millis(150);
 
-/// Time for which an operator has to wait before an order is submitted: if the operator gave up while
-/// a link was cut, the order and the end of the connection arrive within a round trip of each other.
-const OPERATOR_CHECK_TIME: Duration = Duration::from_millis(100);
+/// Time for which the caller of an unnumbered order has to wait before it is carried out: if the caller
+/// gave up while a link was cut, the order and the end of the connection arrive within a round trip
+/// of each other.
+const CALLER_CHECK_TIME: Duration = Duration::from_millis(100);
 
 /// Settings of a [`Registrar`].
 #[derive(Debug, Clone)]
@@ -72,7 +73,7 @@
 enum Call {
     Submit(Submission, oneshot::Sender<SubmitResult>),
     Read(oneshot::Sender<Result<Reading>>),
-    /// An order was dropped, as its operator had gone.
+    /// An order was dropped, as its caller had gone.
     Abandoned,
     Announce(Announcement, oneshot::Sender<Result<()>>),
     Leave(u64, oneshot::Sender<Result<()>>),
@@ -117,10 +118,11 @@
     /// Fails when the name is rejected, and when the change is not known to be durable.
     pub async fn set_zone(&self, zone: &str, out: bool) -> Result<()> {
         let command = Command::Zone { zone: check_name(zone)?, out };
-        let mut unsubmitted = UnsubmittedOrder::new(self.calls.clone(), &command);
+        let subject = command.subject().unwrap_or_default();
+        let mut pending = PendingCheck::new(self.calls.clone(), subject);
         // The reading has to come before the last look at the connection.
-        let (reading, ()) = tokio::join!(self.call(Call::Read), sleep(OPERATOR_CHECK_TIME));
-        unsubmitted.is_pending = false;
+        let (reading, ()) = tokio::join!(self.call(Call::Read), sleep(CALLER_CHECK_TIME));
+        pending.is_pending = false;
         let request = Request { id: rand::random(), made: reading??.index };
         let submission = Submission { request: Some(request), ..Submission::new(command) };
         match self.submit(submission).await {
@@ -165,10 +167,17 @@
 
     /// Records that the server `id` has left.
     ///
+    /// The report does not say which start of the server it ends. One that was held up could end a
+    /// later start, so that it counts only if the server still waits once it has arrived: the
+    /// returned future has to be dropped as soon as the server has gone.
+    ///
     /// # Errors
     ///
     /// Fails when no other VM has confirmed this yet.
     pub async fn leave(&self, id: u64) -> Result<()> {
+        let mut pending = PendingCheck::new(self.calls.clone(), format!("leave {id:x}").into());
+        sleep(CALLER_CHECK_TIME).await;
+        pending.is_pending = false;
         self.call(|reply| Call::Leave(id, reply)).await?
     }
 
@@ -179,22 +188,21 @@
     }
 }
 
-/// Reports an order whose future is dropped before the order was submitted.
-struct UnsubmittedOrder {
+/// Reports an order whose future is dropped while its caller is being checked.
+struct PendingCheck {
     calls: mpsc::Sender<Call>,
     subject: Name,
     arrived_at: Instant,
     is_pending: bool,
 }
 
-impl UnsubmittedOrder {
-    fn new(calls: mpsc::Sender<Call>, command: &Command) -> UnsubmittedOrder {
-        let subject = command.subject().unwrap_or_default();
-        UnsubmittedOrder { calls, subject, arrived_at: Instant::now(), is_pending: true }
+impl PendingCheck {
+    fn new(calls: mpsc::Sender<Call>, subject: Name) -> PendingCheck {
+        PendingCheck { calls, subject, arrived_at: Instant::now(), is_pending: true }
     }
 }
 
-impl Drop for UnsubmittedOrder {
+impl Drop for PendingCheck {
     fn drop(&mut self) {
         if self.is_pending {
             let age = self.arrived_at.elapsed().as_millis();
