Take a leave only for a start that drains

Cause: as before, the report names no start, and nothing else told which start it is about.

Why the fix works: a server reports that it leaves after its draining was acknowledged, so that a report about a start that has not announced that it drains is about another start. It is answered with 503, which sends the server on if only this control VM has not heard of the draining. The look at the connection stays, for a next start that drains itself by the time.

--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -172,6 +172,12 @@
         self.servers.get(&id).map(|server| &server.record)
     }
 
+    /// Returns the state of a server, also if its service is not named.
+    pub fn state(&self, id: u64) -> Option<ServerState> {
+        let set_aside = || self.set_aside.get(&id).map(|server| server.record.state);
+        self.get(id).map(|record| record.state).or_else(set_aside)
+    }
+
     /// Registers an announcement of a server.
     pub fn announce(&mut self, now: Time, announcement: Announcement) -> UpdateOutcome {
         self.update(now, ServerRecord::new(announcement), true)
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -101,6 +101,8 @@
     AnnouncementsLate => "announcements_late",
     /// Announcements set aside because no configuration names their service.
     AnnouncementsUnnamed => "announcements_unnamed",
+    /// Leaves refused because their server has not announced that it drains.
+    LeavesRefused => "leaves_refused",
     /// Reserved for ends of backend servers that no other VM confirmed in time; not incremented.
     AnnouncementsUnconfirmed => "announcements_unconfirmed",
     /// Backend servers whose announcements stopped.
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -167,13 +167,15 @@
 
     /// Records that the server `id` has left.
     ///
-    /// The report does not say which start of the server it ends. One that was held up could end a
-    /// later start, so that it counts only if the server still waits once it has arrived: the
-    /// returned future has to be dropped as soon as the server has gone.
+    /// The report does not say which start of the server it ends, and one that was held up could end
+    /// a later start. It counts only if the server has announced that it drains, and if it still
+    /// waits once the report has arrived: the returned future has to be dropped as soon as the
+    /// server has gone.
     ///
     /// # Errors
     ///
-    /// Fails when no other VM has confirmed this yet.
+    /// Fails when the server has not announced that it drains, and when no other VM has confirmed
+    /// its end yet.
     pub async fn leave(&self, id: u64) -> Result<()> {
         let mut pending = PendingCheck::new(self.calls.clone(), format!("leave {id:x}").into());
         sleep(CALLER_CHECK_TIME).await;
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -13,7 +13,7 @@
     control::{ControlAction, ControlEvent, ControlNode, Envelope, SubmitResult},
     cookie::{
         Announcement, EntryVms, FeedCache, FeedMessage, LoadTable, ServerRecord, ServerRegistry,
-        UpdateBatcher, UpdateOutcome,
+        ServerState, UpdateBatcher, UpdateOutcome,
     },
     counter::{Counter, Counters},
     daemon::{
@@ -269,6 +269,12 @@
     }
 
     fn leave(&mut self, id: u64, reply: oneshot::Sender<Result<()>>) {
+        if self.registry.state(id) == Some(ServerState::Ready) {
+            log::info!("event=leave_refused server={id:x}");
+            self.counters.add(Counter::LeavesRefused, 1);
+            _ = reply.send(Err(not_draining()));
+            return;
+        }
         match self.registry.leave(self.now(), id) {
             Some(record) if !self.registry.is_named(&record) => {
                 self.send_unnamed(record);
@@ -439,6 +445,11 @@
     }
 }
 
+#[cold]
+fn not_draining() -> Error {
+    Error::unavailable("the server has not announced that it drains; ask another control VM")
+}
+
 #[cold]
 fn unconfirmed() -> Error {
     Error::unavailable("no other VM has confirmed the announcement; send it to another control VM")
