Tell all control VMs of servers before their service is named

Callers would see: if all VMs die within about a second of the first configuration, a control VM comes back with the plan and without servers, and its entry VMs do not become ready until the servers announce themselves there.

Cause: a server whose service was not named yet was known to the control VM only that it had announced itself to. The others heard of it up to 400 ms after the configuration, and saved it a second later.

Why the fix works: records that are set aside are gossiped when they are new or change, and sent to a control VM that connects, so that each registers them with the plan itself and its first copy on disk has both. They count as heard when they are named, as later announcements may have reached other VMs only; their warm-up goes on meanwhile.

Test: unnamed_servers_are_known_to_all_vms_before_they_are_named (without the change the second VM has no record).

--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -61,8 +61,10 @@
 struct SetAside {
     record: ServerRecord,
     last_heard: Time,
-    /// Whether it has to be sent to other control VMs once it is registered.
+    /// Whether this VM has received it from the server, and passes it on once it is registered.
     forward: bool,
+    /// Whether it has yet to be sent to other control VMs, so that all register it at once.
+    pending: bool,
 }
 
 /// The backend servers known to a control VM.
@@ -130,14 +132,17 @@
     /// are registered now.
     ///
     /// Servers of a service that is no longer named stay registered: their flows go on.
-    pub fn set_services(&mut self, services: BTreeSet<Name>) -> Vec<ServerRecord> {
+    pub fn set_services(&mut self, now: Time, services: BTreeSet<Name>) -> Vec<ServerRecord> {
         let is_named =
             |_: &u64, server: &mut SetAside| services.contains(&server.record.announcement.service);
         let named: Vec<_> = self.set_aside.extract_if(.., is_named).collect();
         self.services = Some(services);
         let mut registered = Vec::new();
-        for (id, SetAside { record, last_heard, forward }) in named {
-            if self.update(last_heard, record, forward) != UpdateOutcome::Outdated {
+        for (id, SetAside { mut record, last_heard, forward, .. }) in named {
+            let announcement = &mut record.announcement;
+            announcement.warmup_left = (last_heard + announcement.warmup_left).since(now);
+            // Its later announcements may have reached other control VMs only.
+            if self.update(now, record, forward) != UpdateOutcome::Outdated {
                 registered.extend(self.get(id).cloned());
             }
         }
@@ -167,6 +172,11 @@
         self.servers.values().map(|server| &server.record)
     }
 
+    /// Iterates over every record, also those of servers whose service is not named.
+    pub fn all_records(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.records().chain(self.set_aside.values().map(|server| &server.record))
+    }
+
     /// Returns the record of a server.
     pub fn get(&self, id: u64) -> Option<&ServerRecord> {
         self.servers.get(&id).map(|server| &server.record)
@@ -264,8 +274,10 @@
         {
             return UpdateOutcome::Outdated;
         }
+        let changed = before.is_none_or(|before| record.is_change(&before.record));
+        let pending = forward && changed || before.is_some_and(|before| before.pending);
         let forward = forward || before.is_some_and(|before| before.forward);
-        self.set_aside.insert(id, SetAside { record, last_heard: now, forward });
+        self.set_aside.insert(id, SetAside { record, last_heard: now, forward, pending });
         UpdateOutcome::Unnamed
     }
 
@@ -333,10 +345,15 @@
         if was_silent { UpdateOutcome::Changed } else { UpdateOutcome::Unchanged }
     }
 
-    /// Takes what has yet to be sent to other control VMs: changed records, and the number and
-    /// sequence number of servers that announced themselves without a change.
+    /// Takes what has yet to be sent to other control VMs: changed records, also of servers whose
+    /// service is not named, and the number and sequence number of servers that announced themselves
+    /// without a change.
     pub fn take_pending(&mut self) -> (Vec<ServerRecord>, Vec<(u64, u64)>) {
-        let (mut records, mut refreshed) = (Vec::new(), Vec::new());
+        let set_aside = self.set_aside.values_mut();
+        let set_aside = set_aside.filter_map(|server| {
+            std::mem::take(&mut server.pending).then(|| server.record.clone())
+        });
+        let (mut records, mut refreshed) = (set_aside.collect::<Vec<_>>(), Vec::new());
         for server in self.servers.values_mut() {
             let announcement = &server.record.announcement;
             match server.pending.take() {
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -153,7 +153,8 @@
     fn name_services(&mut self) {
         self.unsaved = true;
         let Some(plan) = self.publisher.plan() else { return };
-        let named = self.registry.set_services(plan.config.services.keys().cloned().collect());
+        let services = plan.config.services.keys().cloned().collect();
+        let named = self.registry.set_services(self.now(), services);
         let mut records = self.registry.take_superseded();
         records.iter().for_each(|record| log_record("superseded", record));
         named.iter().for_each(|record| log_record("named", record));
--- a/src/daemon/registrar/gossip.rs
+++ b/src/daemon/registrar/gossip.rs
@@ -221,7 +221,7 @@
     /// Sends all records to a control VM, which may have missed those sent before it was connected.
     pub(super) fn send_all_records(&mut self, to: SocketAddr) {
         let registry_age = Some(self.registry.age(self.now()));
-        let records = self.registry.records().cloned().collect();
+        let records = self.registry.all_records().cloned().collect();
         let gossip = Gossip {
             from: self.local_location(),
             request_all: false,
--- a/tests/other_writers.rs
+++ b/tests/other_writers.rs
@@ -72,7 +72,7 @@
     let draining = Announcement { draining: true, sequence: 2, ..unnamed(3) };
     registry.announce(at(1_000), Announcement { addr: announcement(3, "a").addr, ..draining });
     registry.take_pending();
-    let named = registry.set_services(services(&["hub", "other"]));
+    let named = registry.set_services(at(2_000), services(&["hub", "other"]));
     let states: Vec<_> =
         named.iter().map(|record| (record.announcement.id, record.state)).collect();
     assert_eq!(states, [(2, ServerState::Ready), (3, ServerState::Draining)]);
@@ -80,7 +80,7 @@
     assert_eq!(registry.take_superseded().len(), 1);
     assert_eq!(registry.get(1).unwrap().state, ServerState::Gone);
     assert_eq!(registry.take_pending().0.len(), 2, "other control VMs are told");
-    assert_eq!(registry.set_services(services(&["hub", "other"])), []);
+    assert_eq!(registry.set_services(at(2_000), services(&["hub", "other"])), []);
 }
 
 /// Guards against a VM that ends or forgets servers while it does not know the configuration.
@@ -91,13 +91,14 @@
     assert_eq!(registry.announce(at(20), unnamed(2)), UpdateOutcome::Unnamed);
     let gone = ServerRecord { state: ServerState::Gone, ..ServerRecord::new(announcement(4, "a")) };
     assert_eq!(registry.merge(at(20), gone), UpdateOutcome::Unnamed);
-    let named = registry.set_services(services(&["hub"]));
+    let named = registry.set_services(at(2_000), services(&["hub"]));
     let states: Vec<_> =
         named.iter().map(|record| (record.announcement.id, record.state)).collect();
     assert_eq!(states, [(1, ServerState::Ready), (4, ServerState::Gone)]);
     assert_eq!(registry.take_superseded(), []);
     let pending = registry.take_pending().0;
-    assert_eq!(pending.len(), 1, "only its own announcements are passed on");
+    let ids: Vec<_> = pending.iter().map(|record| record.announcement.id).collect();
+    assert_eq!(ids, [2, 1], "only its own announcements are passed on");
 }
 
 /// Guards against saved servers, or those of a service that is no longer named, that are lost.
@@ -108,7 +109,7 @@
         ServerRegistry::new(Time::ZERO, PERIOD).with_services(BTreeSet::new()).with_cached(cached);
     let next = Announcement { sequence: 2, draining: true, ..announcement(1, "a") };
     assert_eq!(registry.announce(at(10), next), UpdateOutcome::Changed);
-    registry.set_services(services(&["desk"]));
+    registry.set_services(at(2_000), services(&["desk"]));
     let next = Announcement { sequence: 3, draining: true, ..announcement(1, "a") };
     assert_eq!(registry.announce(at(30), next), UpdateOutcome::Unchanged);
     assert_eq!(registry.get(1).unwrap().state, ServerState::Draining);
@@ -125,7 +126,7 @@
         registry.announce(at(30), Announcement { sequence: 2, ..unnamed(2) }),
         UpdateOutcome::Outdated
     );
-    registry.set_services(services(&["hub", "other"]));
+    registry.set_services(at(2_000), services(&["hub", "other"]));
     assert_eq!(registry.get(2).unwrap().state, ServerState::Gone);
 }
 
@@ -170,3 +171,25 @@
     forwarder.handle_feed(at(1_000), control_addr(), FeedMessage::Plan(plan(2, &["b"])));
     assert!(used.contains(&3), "{used:?}");
 }
+
+/// Guards against servers that only one VM knows when the configuration that names them comes: the
+/// others would have nothing to save or to serve until they hear of them.
+#[test]
+fn unnamed_servers_are_known_to_all_vms_before_they_are_named() {
+    let new = || ServerRegistry::new(Time::ZERO, PERIOD).with_services(BTreeSet::new());
+    let (mut first, mut second) = (new(), new());
+    let warmup_left = Duration::from_millis(1_500);
+    first.announce(at(0), Announcement { warmup_left, ..announcement(1, "a") });
+    let (records, refreshed) = first.take_pending();
+    assert_eq!((records.len(), refreshed.len()), (1, 0));
+    first.announce(at(1_200), Announcement { sequence: 2, ..announcement(1, "a") });
+    assert_eq!(first.take_pending(), (Vec::new(), Vec::new()), "it has not changed");
+    assert_eq!(second.merge(at(1_000), records[0].clone()), UpdateOutcome::Unnamed);
+    assert_eq!(second.take_pending(), (Vec::new(), Vec::new()), "gossip is not forwarded");
+    assert_eq!(second.all_records().count(), 1);
+    let named = second.set_services(at(2_000), services(&["hub"]));
+    assert_eq!(named.len(), 1);
+    assert_eq!(named[0].announcement.warmup_left, Duration::from_millis(500));
+    second.tick(at(2_400));
+    assert_eq!(second.tick(at(5_500)), [], "not silent: the first VM hears it");
+}
