Decide in the registry whether a leave counts

The check that a leave is about a start that drains stood in the event loop, so that no test of the registry could see it, and the registry's own tests ended servers that were ready, as no server does. What is set aside has a module of its own now.

--- a/src/cookie.rs
+++ b/src/cookie.rs
@@ -57,7 +57,7 @@
 pub use load_view::LoadView;
 pub use primary_feed::PrimaryFeed;
 pub use record::{Announcement, ServerRecord, ServerState, server_cookie};
-pub use registry::{ServerRegistry, UpdateOutcome};
+pub use registry::{LeaveOutcome, ServerRegistry, UpdateOutcome};
 pub use server_load::{RequestOutcome, ServerLoad};
 pub use server_pool::{OwnLoad, ServerPool, ServerView};
 pub use service_room::{ServiceRoom, ServiceZone, ShortChange};
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -9,6 +9,10 @@
     time::Duration,
 };
 
+mod set_aside;
+
+use set_aside::SetAside;
+
 use crate::{
     cookie::record::{Announcement, ServerRecord, ServerState},
     name::Name,
@@ -43,6 +47,18 @@
     Unnamed,
 }
 
+/// The effect of a report that a server leaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaveOutcome {
+    /// The server counts as gone from now on.
+    Ended(ServerRecord),
+    /// It was ignored: the registered start has not announced that it drains, and the report may be
+    /// about an earlier one.
+    NotDraining,
+    /// No server has this number.
+    Unknown,
+}
+
 #[derive(Debug, Clone)]
 struct Registered {
     record: ServerRecord,
@@ -56,17 +72,6 @@
     pending: Option<UpdateOutcome>,
 }
 
-/// A record set aside because no known configuration names its service.
-#[derive(Debug, Clone)]
-struct SetAside {
-    record: ServerRecord,
-    last_heard: Time,
-    /// Whether this VM has received it from the server, and passes it on once it is registered.
-    forward: bool,
-    /// Whether it has yet to be sent to other control VMs, so that all register it at once.
-    pending: bool,
-}
-
 /// The backend servers known to a control VM.
 #[derive(Debug, Clone)]
 pub struct ServerRegistry {
@@ -80,7 +85,7 @@
     /// The services that the configuration names, or `None` if every service counts as named.
     services: Option<BTreeSet<Name>>,
     /// Servers of other services. They are not used, and end no server at their address.
-    set_aside: BTreeMap<u64, SetAside>,
+    set_aside: SetAside,
     /// Incarnation and number of the server that started last at each address.
     by_address: BTreeMap<SocketAddrV4, (u64, u64)>,
     /// Servers that ended because another one started at their address.
@@ -96,7 +101,7 @@
             last_tick: None,
             servers: BTreeMap::new(),
             services: None,
-            set_aside: BTreeMap::new(),
+            set_aside: SetAside::default(),
             by_address: BTreeMap::new(),
             superseded: Vec::new(),
         }
@@ -133,14 +138,11 @@
     ///
     /// Servers of a service that is no longer named stay registered: their flows go on.
     pub fn set_services(&mut self, now: Time, services: BTreeSet<Name>) -> Vec<ServerRecord> {
-        let is_named =
-            |_: &u64, server: &mut SetAside| services.contains(&server.record.announcement.service);
-        let named: Vec<_> = self.set_aside.extract_if(.., is_named).collect();
+        let named = self.set_aside.take_named(now, &services);
         self.services = Some(services);
         let mut registered = Vec::new();
-        for (id, SetAside { mut record, last_heard, forward, .. }) in named {
-            let announcement = &mut record.announcement;
-            announcement.warmup_left = (last_heard + announcement.warmup_left).since(now);
+        for (record, forward) in named {
+            let id = record.announcement.id;
             // Its later announcements may have reached other control VMs only.
             if self.update(now, record, forward) != UpdateOutcome::Outdated {
                 registered.extend(self.get(id).cloned());
@@ -174,7 +176,7 @@
 
     /// Iterates over every record, also those of servers whose service is not named.
     pub fn all_records(&self) -> impl Iterator<Item = &ServerRecord> {
-        self.records().chain(self.set_aside.values().map(|server| &server.record))
+        self.records().chain(self.set_aside.records())
     }
 
     /// Returns the record of a server.
@@ -182,29 +184,26 @@
         self.servers.get(&id).map(|server| &server.record)
     }
 
-    /// Returns the state of a server, also if its service is not named.
-    pub fn state(&self, id: u64) -> Option<ServerState> {
-        let set_aside = || self.set_aside.get(&id).map(|server| server.record.state);
-        self.get(id).map(|record| record.state).or_else(set_aside)
-    }
-
     /// Registers an announcement of a server.
     pub fn announce(&mut self, now: Time, announcement: Announcement) -> UpdateOutcome {
         self.update(now, ServerRecord::new(announcement), true)
     }
 
-    /// Marks a server that has left as gone; returns its record if it was known.
-    pub fn leave(&mut self, now: Time, id: u64) -> Option<ServerRecord> {
+    /// Marks a server that has left as gone.
+    ///
+    /// The report names no start, and one that was delayed may be about an earlier one. A server
+    /// leaves after it has announced that it drains, so that a start that has not is not meant.
+    pub fn leave(&mut self, now: Time, id: u64) -> LeaveOutcome {
         let Some(server) = self.servers.get_mut(&id) else {
-            let server = self.set_aside.get_mut(&id)?;
-            server.record.state = ServerState::Gone;
-            (server.last_heard, server.forward) = (now, true);
-            return Some(server.record.clone());
+            return self.set_aside.leave(now, id);
         };
+        if server.record.state == ServerState::Ready {
+            return LeaveOutcome::NotDraining;
+        }
         server.record.state = ServerState::Gone;
         server.last_heard = now;
         server.pending = Some(UpdateOutcome::Changed);
-        Some(server.record.clone())
+        LeaveOutcome::Ended(server.record.clone())
     }
 
     /// Merges a record received from another control VM.
@@ -225,7 +224,8 @@
             return UpdateOutcome::Outdated;
         }
         if !self.is_named(&record) {
-            return self.set_aside(now, record, forward);
+            let is_full = self.is_full();
+            return self.set_aside.insert(now, record, forward, is_full);
         }
         let id = record.announcement.id;
         let before = self.servers.get(&id).map(|server| &server.record);
@@ -235,7 +235,7 @@
             return UpdateOutcome::Outdated;
         }
         // What was set aside under this number is not of this server.
-        self.set_aside.remove(&id);
+        self.set_aside.remove(id);
         self.end_predecessor(&record);
         self.record_address(&record);
         if self.is_superseded(&record) {
@@ -266,21 +266,6 @@
         outcome
     }
 
-    fn set_aside(&mut self, now: Time, record: ServerRecord, forward: bool) -> UpdateOutcome {
-        let id = record.announcement.id;
-        let before = self.set_aside.get(&id);
-        if before.is_some_and(|before| record.version() <= before.record.version())
-            || (before.is_none() && self.is_full())
-        {
-            return UpdateOutcome::Outdated;
-        }
-        let changed = before.is_none_or(|before| record.is_change(&before.record));
-        let pending = forward && changed || before.is_some_and(|before| before.pending);
-        let forward = forward || before.is_some_and(|before| before.forward);
-        self.set_aside.insert(id, SetAside { record, last_heard: now, forward, pending });
-        UpdateOutcome::Unnamed
-    }
-
     fn is_full(&self) -> bool {
         self.servers.len() + self.set_aside.len() >= MAX_SERVERS
     }
@@ -335,7 +320,7 @@
         if gone || sequence <= server.record.announcement.sequence {
             return UpdateOutcome::Outdated;
         }
-        self.set_aside.remove(&id);
+        self.set_aside.remove(id);
         let is_ambiguous = server.restarted_at.is_some_and(|at| now.since(at) < GONE_RETENTION);
         if !is_ambiguous {
             server.record.announcement.sequence = sequence;
@@ -349,11 +334,7 @@
     /// service is not named, and the number and sequence number of servers that announced themselves
     /// without a change.
     pub fn take_pending(&mut self) -> (Vec<ServerRecord>, Vec<(u64, u64)>) {
-        let set_aside = self.set_aside.values_mut();
-        let set_aside = set_aside.filter_map(|server| {
-            std::mem::take(&mut server.pending).then(|| server.record.clone())
-        });
-        let (mut records, mut refreshed) = (set_aside.collect::<Vec<_>>(), Vec::new());
+        let (mut records, mut refreshed) = (self.set_aside.take_pending(), Vec::new());
         for server in self.servers.values_mut() {
             let announcement = &server.record.announcement;
             match server.pending.take() {
@@ -411,7 +392,7 @@
             }
         }
         self.servers.retain(|_, server| now.since(server.last_heard) < GONE_RETENTION);
-        self.set_aside.retain(|_, server| now.since(server.last_heard) < GONE_RETENTION);
+        self.set_aside.expire(now, GONE_RETENTION);
         let servers = &self.servers;
         self.by_address.retain(|_, (_, id)| servers.contains_key(id));
         changed
--- /dev/null
+++ b/src/cookie/registry/set_aside.rs
@@ -0,0 +1,107 @@
+//! Servers that wait for a configuration that names their service.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{LeaveOutcome, UpdateOutcome};
+use crate::{
+    cookie::record::{ServerRecord, ServerState},
+    name::Name,
+    time::Time,
+};
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    record: ServerRecord,
+    last_heard: Time,
+    /// Whether this VM has received it from the server, and passes it on once it is registered.
+    forward: bool,
+    /// Whether it has yet to be sent to other control VMs, so that all register it at once.
+    pending: bool,
+}
+
+/// Records set aside because no known configuration names their service.
+#[derive(Debug, Clone, Default)]
+pub(super) struct SetAside {
+    servers: BTreeMap<u64, Waiting>,
+}
+
+impl SetAside {
+    pub(super) fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    pub(super) fn records(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.servers.values().map(|server| &server.record)
+    }
+
+    /// Sets a record aside, unless one as new is held or, for a new server, `is_full`.
+    pub(super) fn insert(
+        &mut self,
+        now: Time,
+        record: ServerRecord,
+        forward: bool,
+        is_full: bool,
+    ) -> UpdateOutcome {
+        let id = record.announcement.id;
+        let before = self.servers.get(&id);
+        if before.is_some_and(|before| record.version() <= before.record.version())
+            || (before.is_none() && is_full)
+        {
+            return UpdateOutcome::Outdated;
+        }
+        let changed = before.is_none_or(|before| record.is_change(&before.record));
+        let pending = forward && changed || before.is_some_and(|before| before.pending);
+        let forward = forward || before.is_some_and(|before| before.forward);
+        self.servers.insert(id, Waiting { record, last_heard: now, forward, pending });
+        UpdateOutcome::Unnamed
+    }
+
+    pub(super) fn remove(&mut self, id: u64) {
+        self.servers.remove(&id);
+    }
+
+    /// Removes the records of `services`, with their remaining warm-up and whether they have to be
+    /// passed on.
+    pub(super) fn take_named(
+        &mut self,
+        now: Time,
+        services: &BTreeSet<Name>,
+    ) -> Vec<(ServerRecord, bool)> {
+        let is_named =
+            |_: &u64, server: &mut Waiting| services.contains(&server.record.announcement.service);
+        let named = self.servers.extract_if(.., is_named);
+        let updated = named.map(|(_, Waiting { mut record, last_heard, forward, .. })| {
+            let announcement = &mut record.announcement;
+            announcement.warmup_left = (last_heard + announcement.warmup_left).since(now);
+            (record, forward)
+        });
+        updated.collect()
+    }
+
+    /// Marks a server that drains as gone.
+    pub(super) fn leave(&mut self, now: Time, id: u64) -> LeaveOutcome {
+        let Some(server) = self.servers.get_mut(&id) else { return LeaveOutcome::Unknown };
+        if server.record.state == ServerState::Ready {
+            return LeaveOutcome::NotDraining;
+        }
+        server.record.state = ServerState::Gone;
+        (server.last_heard, server.forward) = (now, true);
+        LeaveOutcome::Ended(server.record.clone())
+    }
+
+    /// Takes the records that have yet to be sent to other control VMs.
+    pub(super) fn take_pending(&mut self) -> Vec<ServerRecord> {
+        let pending = self.servers.values_mut().filter_map(|server| {
+            std::mem::take(&mut server.pending).then(|| server.record.clone())
+        });
+        pending.collect()
+    }
+
+    /// Removes records not heard of for `limit`.
+    pub(super) fn expire(&mut self, now: Time, limit: Duration) {
+        self.servers.retain(|_, server| now.since(server.last_heard) < limit);
+    }
+}
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -12,8 +12,8 @@
 use crate::{
     control::{ControlAction, ControlEvent, ControlNode, Envelope, SubmitResult},
     cookie::{
-        Announcement, EntryVms, FeedCache, FeedMessage, LoadTable, ServerRecord, ServerRegistry,
-        ServerState, UpdateBatcher, UpdateOutcome,
+        Announcement, EntryVms, FeedCache, FeedMessage, LeaveOutcome, LoadTable, ServerRecord,
+        ServerRegistry, UpdateBatcher, UpdateOutcome,
     },
     counter::{Counter, Counters},
     daemon::{
@@ -270,23 +270,22 @@
     }
 
     fn leave(&mut self, id: u64, reply: oneshot::Sender<Result<()>>) {
-        if self.registry.state(id) == Some(ServerState::Ready) {
-            log::info!("event=leave_refused server={id:x}");
-            self.counters.add(Counter::LeavesRefused, 1);
-            _ = reply.send(Err(not_draining()));
-            return;
-        }
         match self.registry.leave(self.now(), id) {
-            Some(record) if !self.registry.is_named(&record) => {
+            LeaveOutcome::NotDraining => {
+                log::info!("event=leave_refused server={id:x}");
+                self.counters.add(Counter::LeavesRefused, 1);
+                _ = reply.send(Err(not_draining()));
+            }
+            LeaveOutcome::Ended(record) if !self.registry.is_named(&record) => {
                 self.send_unnamed(record);
                 _ = reply.send(Ok(()));
             }
-            Some(record) => {
+            LeaveOutcome::Ended(record) => {
                 log_record("left", &record);
                 let delivered = self.broadcast(vec![record]);
                 self.confirm(delivered, true, reply);
             }
-            None => _ = reply.send(Ok(())),
+            LeaveOutcome::Unknown => _ = reply.send(Ok(())),
         }
     }
 
--- a/tests/other_writers.rs
+++ b/tests/other_writers.rs
@@ -4,8 +4,8 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use galenatrail::{
-    Announcement, FeedMessage, FlowVerdict, Name, ServerRecord, ServerRegistry, ServerState, Time,
-    UpdateOutcome,
+    Announcement, FeedMessage, FlowVerdict, LeaveOutcome, Name, ServerRecord, ServerRegistry,
+    ServerState, Time, UpdateOutcome,
 };
 
 #[path = "support/cookie.rs"]
@@ -119,11 +119,13 @@
 #[test]
 fn an_unnamed_server_that_leaves_is_gone_once_it_is_named() {
     let mut registry = registry();
-    registry.announce(at(10), unnamed(2));
-    let left = registry.leave(at(20), 2).expect("other VMs may know its service");
+    registry.announce(at(10), Announcement { draining: true, ..unnamed(2) });
+    let LeaveOutcome::Ended(left) = registry.leave(at(20), 2) else {
+        panic!("other VMs may know its service");
+    };
     assert_eq!(left.state, ServerState::Gone);
     assert_eq!(
-        registry.announce(at(30), Announcement { sequence: 2, ..unnamed(2) }),
+        registry.announce(at(30), Announcement { sequence: 2, draining: true, ..unnamed(2) }),
         UpdateOutcome::Outdated
     );
     registry.set_services(at(2_000), services(&["hub", "other"]));
--- a/tests/server_registry.rs
+++ b/tests/server_registry.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use galenatrail::{Announcement, ServerRecord, ServerRegistry, ServerState, Time, UpdateOutcome};
+use galenatrail::{
+    Announcement, LeaveOutcome, ServerRecord, ServerRegistry, ServerState, Time, UpdateOutcome,
+};
 use proptest::prelude::*;
 
 #[path = "support/cookie.rs"]
@@ -32,8 +34,9 @@
 #[test]
 fn a_delayed_announcement_does_not_bring_back_a_server_that_has_left() {
     let mut registry = registry();
-    registry.announce(at(10), announcement(1, "a"));
-    registry.leave(at(20), 1);
+    registry.announce(at(10), Announcement { draining: true, ..announcement(1, "a") });
+    let left = registry.leave(at(20), 1);
+    assert!(matches!(left, LeaveOutcome::Ended(_)), "{left:?}");
     let mut late = announcement(1, "a");
     late.sequence = 9;
     assert_eq!(registry.announce(at(30), late), UpdateOutcome::Outdated);
@@ -123,6 +126,8 @@
     assert!(second.tick(at(4_700)).is_empty(), "last heard at 1,200 ms");
     assert_eq!(second.tick(at(4_800)).len(), 1);
     assert_eq!(second.refresh(at(4_900), 1, 5), UpdateOutcome::Changed, "it is back");
+    let draining = Announcement { draining: true, sequence: 6, ..announcement(1, "a") };
+    second.announce(at(5_000), draining);
     second.leave(at(5_000), 1);
     assert_eq!(second.refresh(at(5_100), 1, 9), UpdateOutcome::Outdated);
     assert_eq!(second.refresh(at(5_100), 7, 1), UpdateOutcome::Outdated, "unknown server");
