Keep records that are set aside apart by service

Callers would see: a control VM that lost its disk did not know a server that lived, and its entry VMs sent it no flow, for as long as the server announced itself to other control VMs.

Cause: a VM without a configuration sets all servers aside, and kept one record for each id. A heartbeat of another writer, for a service that does not exist, took the place of the server's own if its start was higher.

The server's record had come with the connection, so that it was not the sender's fault.

Why the fix works: records are kept by id and service, so that naming the service of the server finds its record.

Red before: an_unnamed_service_does_not_hide_the_server_with_its_id (None instead of hub, in both orders).

--- a/src/cookie/registry/set_aside.rs
+++ b/src/cookie/registry/set_aside.rs
@@ -23,9 +23,12 @@
 }
 
 /// Records set aside because no known configuration names their service.
+///
+/// Anyone may announce a service that does not exist, also under the number of a server that lives:
+/// records under one number are kept apart by service.
 #[derive(Debug, Clone, Default)]
 pub(super) struct SetAside {
-    servers: BTreeMap<u64, Waiting>,
+    servers: BTreeMap<(u64, Name), Waiting>,
 }
 
 impl SetAside {
@@ -45,8 +48,8 @@
         forward: bool,
         is_full: bool,
     ) -> UpdateOutcome {
-        let id = record.announcement.id;
-        let before = self.servers.get(&id);
+        let key = (record.announcement.id, record.announcement.service.clone());
+        let before = self.servers.get(&key);
         if before.is_some_and(|before| record.version() <= before.record.version())
             || (before.is_none() && is_full)
         {
@@ -55,12 +58,24 @@
         let changed = before.is_none_or(|before| record.is_change(&before.record));
         let pending = forward && changed || before.is_some_and(|before| before.pending);
         let forward = forward || before.is_some_and(|before| before.forward);
-        self.servers.insert(id, Waiting { record, last_heard: now, forward, pending });
+        self.servers.insert(key, Waiting { record, last_heard: now, forward, pending });
         UpdateOutcome::Unnamed
     }
 
+    /// Removes the records under a number.
     pub(super) fn remove(&mut self, id: u64) {
-        self.servers.remove(&id);
+        while let Some(key) = self.find(id) {
+            self.servers.remove(&key);
+        }
+    }
+
+    fn find(&self, id: u64) -> Option<(u64, Name)> {
+        // Most of the time, no server waits.
+        if self.servers.is_empty() {
+            return None;
+        }
+        let (first, _) = self.servers.range((id, Name::from(""))..).next()?;
+        (first.0 == id).then(|| first.clone())
     }
 
     /// Removes the records of `services`, with their remaining warm-up and whether they have to be
@@ -70,9 +85,7 @@
         now: Time,
         services: &BTreeSet<Name>,
     ) -> Vec<(ServerRecord, bool)> {
-        let is_named =
-            |_: &u64, server: &mut Waiting| services.contains(&server.record.announcement.service);
-        let named = self.servers.extract_if(.., is_named);
+        let named = self.servers.extract_if(.., |(_, service), _| services.contains(service));
         let updated = named.map(|(_, Waiting { mut record, last_heard, forward, .. })| {
             let announcement = &mut record.announcement;
             announcement.warmup_left = (last_heard + announcement.warmup_left).since(now);
@@ -81,15 +94,20 @@
         updated.collect()
     }
 
-    /// Marks a server that drains as gone.
+    /// Marks the servers under a number that drain as gone; returns the last of them.
     pub(super) fn leave(&mut self, now: Time, id: u64) -> LeaveOutcome {
-        let Some(server) = self.servers.get_mut(&id) else { return LeaveOutcome::Unknown };
-        if server.record.state == ServerState::Ready {
-            return LeaveOutcome::NotDraining;
+        let mut outcome = LeaveOutcome::Unknown;
+        let Some(first) = self.find(id) else { return outcome };
+        for (_, server) in self.servers.range_mut(first..).take_while(|((key, _), _)| *key == id) {
+            if server.record.state != ServerState::Ready {
+                server.record.state = ServerState::Gone;
+                (server.last_heard, server.forward) = (now, true);
+                outcome = LeaveOutcome::Ended(server.record.clone());
+            } else if outcome == LeaveOutcome::Unknown {
+                outcome = LeaveOutcome::NotDraining;
+            }
         }
-        server.record.state = ServerState::Gone;
-        (server.last_heard, server.forward) = (now, true);
-        LeaveOutcome::Ended(server.record.clone())
+        outcome
     }
 
     /// Takes the records that have yet to be sent to other control VMs.
--- a/tests/other_writers.rs
+++ b/tests/other_writers.rs
@@ -174,6 +174,21 @@
     assert!(used.contains(&3), "{used:?}");
 }
 
+/// Guards against a server that a VM without a configuration forgets, as after the loss of its disk,
+/// because a heartbeat for a service without a configuration has its id.
+#[test]
+fn an_unnamed_service_does_not_hide_the_server_with_its_id() {
+    for order in [[announcement(1, "a"), unnamed(1)], [unnamed(1), announcement(1, "a")]] {
+        let mut registry = ServerRegistry::new(Time::ZERO, PERIOD).with_services(BTreeSet::new());
+        for announcement in order.clone() {
+            assert_eq!(registry.announce(at(10), announcement), UpdateOutcome::Unnamed);
+        }
+        registry.set_services(at(2_000), services(&["hub"]));
+        let held = registry.get(1).map(|record| &*record.announcement.service);
+        assert_eq!(held, Some("hub"), "{order:?}");
+    }
+}
+
 /// Guards against servers that only one VM knows when the configuration that names them comes: the
 /// others would have nothing to save or to serve until they hear of them.
 #[test]
