Do not take a refresh of an earlier start that is not known

Callers would see: after a control VM lost its disk, a server's heartbeats to it were acknowledged and not recorded, a draining one among them, for as long as an earlier start had run; entry VMs fed by it go on opening flows there (DRAIN).

A VM that has never known the earlier start had nothing to compare with, and took the number that a suspended VM passes on for one of the present start.

Evidence: the registry alone: after a refresh with number 40, announcement 2 of the present start is Outdated.

Why the fix works: a VM that has been up for less than 120 s, the time for which any start is remembered, cannot know whether there was an earlier one; for each start that it registers then, the number only shows that the server is heard. Form and number of messages are unchanged.

Red before: a_refresh_of_an_unknown_earlier_start_does_not_make_later_announcements_late (Outdated instead of Changed). Green now, with the other tests of server_registry, other_writers and superseded_server.

--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -63,8 +63,10 @@
 struct Registered {
     record: ServerRecord,
     last_heard: Time,
-    /// When it was registered in place of an earlier start.
-    restarted_at: Option<Time>,
+    /// Until when a sequence number that names no start may be of an earlier start.
+    ambiguous_until: Time,
+    /// The last such number while it was ambiguous.
+    ambiguous_number: u64,
     /// When it is warm, as entry VMs know it.
     cold_until: Time,
     /// What has yet to be sent to other control VMs: a changed record, or only that the server
@@ -77,7 +79,9 @@
 pub struct ServerRegistry {
     /// Time between two announcements of a server.
     period: Duration,
-    /// When the registry began to receive announcements.
+    /// When the registry was created.
+    created: Time,
+    /// When the registry, or another one whose records it has, began to receive announcements.
     since: Time,
     /// When silent servers were last determined.
     last_tick: Option<Time>,
@@ -97,6 +101,7 @@
     pub fn new(now: Time, period: Duration) -> ServerRegistry {
         ServerRegistry {
             period,
+            created: now,
             since: now,
             last_tick: None,
             servers: BTreeMap::new(),
@@ -126,8 +131,14 @@
             self.record_address(&record);
             let id = record.announcement.id;
             let cold_until = last_heard + record.announcement.warmup_left;
-            let registered =
-                Registered { record, last_heard, restarted_at: None, cold_until, pending: None };
+            let registered = Registered {
+                record,
+                last_heard,
+                ambiguous_until: self.since + GONE_RETENTION,
+                ambiguous_number: 0,
+                cold_until,
+                pending: None,
+            };
             self.servers.insert(id, registered);
         }
         self
@@ -257,11 +268,23 @@
         let unsent = before.and_then(|before| before.pending);
         let unsent = unsent.filter(|pending| *pending == UpdateOutcome::Changed);
         let pending = unsent.or(forward.then_some(outcome));
-        let restarted_at = before.and_then(|before| {
-            let earlier = before.record.announcement.incarnation < record.announcement.incarnation;
-            if earlier { Some(now) } else { before.restarted_at }
-        });
-        let registered = Registered { record, last_heard: now, restarted_at, cold_until, pending };
+        let incarnation = record.announcement.incarnation;
+        let (ambiguous_until, ambiguous_number) = match before {
+            Some(before) if before.record.announcement.incarnation == incarnation => {
+                (before.ambiguous_until, before.ambiguous_number)
+            }
+            // Without a record, an earlier start is possible if this VM has not been up for long.
+            None if now.since(self.created) >= GONE_RETENTION => (now, 0),
+            _ => (now + GONE_RETENTION, 0),
+        };
+        let registered = Registered {
+            record,
+            last_heard: now,
+            ambiguous_until,
+            ambiguous_number,
+            cold_until,
+            pending,
+        };
         self.servers.insert(id, registered);
         outcome
     }
@@ -311,9 +334,9 @@
 
     /// Registers that another control VM received an announcement without a change.
     ///
-    /// It does not say of which start. For 120 s after a server has started again, it may have been
-    /// delayed and be about the earlier start, whose sequence numbers are higher: it then shows that
-    /// the server is heard, and its number is not taken.
+    /// It does not say of which start. For 120 s after a start has been registered, it may have been
+    /// delayed and be about an earlier one, whose sequence numbers are higher, unless this VM knows
+    /// that there was none: it then shows that the server is heard, and its number is not taken.
     pub fn refresh(&mut self, now: Time, id: u64, sequence: u64) -> UpdateOutcome {
         let Some(server) = self.servers.get_mut(&id) else { return UpdateOutcome::Outdated };
         let gone = server.record.state == ServerState::Gone;
@@ -321,9 +344,10 @@
             return UpdateOutcome::Outdated;
         }
         self.set_aside.remove(id);
-        let is_ambiguous = server.restarted_at.is_some_and(|at| now.since(at) < GONE_RETENTION);
-        if !is_ambiguous {
+        if now >= server.ambiguous_until {
             server.record.announcement.sequence = sequence;
+        } else if sequence == std::mem::replace(&mut server.ambiguous_number, sequence) {
+            return UpdateOutcome::Outdated;
         }
         server.last_heard = now;
         let was_silent = std::mem::replace(&mut server.record.silent, false);
--- a/tests/server_registry.rs
+++ b/tests/server_registry.rs
@@ -249,6 +249,20 @@
     assert_eq!(registry.get(1).unwrap().state, ServerState::Draining);
 }
 
+/// Guards against announcements that count as late at a VM that lost its disk and has not known the
+/// earlier start, whose announcement a VM that was suspended passes on.
+#[test]
+fn a_refresh_of_an_unknown_earlier_start_does_not_make_later_announcements_late() {
+    for cached in [Vec::new(), vec![ServerRecord::new(announcement(1, "a"))]] {
+        let mut registry = registry().with_cached(cached);
+        registry.merge(at(0), ServerRecord::new(announcement(1, "a")));
+        registry.refresh(at(400), 1, 40);
+        let draining = Announcement { sequence: 2, draining: true, ..announcement(1, "a") };
+        assert_eq!(registry.announce(at(1_200), draining), UpdateOutcome::Changed);
+        assert_eq!(registry.get(1).unwrap().state, ServerState::Draining);
+    }
+}
+
 /// Guards against a server that started again and counts as silent where it is heard through other
 /// control VMs only.
 #[test]
