--- a/src/cookie/feed.rs
+++ b/src/cookie/feed.rs
@@ -36,6 +36,17 @@
     pub refreshed: Vec<(u64, u64)>,
 }
 
+/// Servers that announce themselves to a control VM and are not used, as no configuration names their
+/// service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct UnnamedServers {
+    /// Number of these servers.
+    pub count: u64,
+    /// The first of them, in order of their numbers; 500 at most.
+    pub records: Vec<ServerRecord>,
+}
+
 /// The operators' configuration as entry VMs need it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/cookie/record.rs
+++ b/src/cookie/record.rs
@@ -55,27 +55,49 @@
     /// Fails when a name is empty or too long, when no packet can be sent to the address, and when
     /// the server has no slot or more than a server can have.
     pub fn check(&self) -> Result<()> {
-        for name in [&self.service, &self.zone] {
+        for (path, name) in [("service", &self.service), ("zone", &self.zone)] {
             if name.is_empty() || name.len() > Announcement::MAX_NAME_LEN {
                 let (len, max) = (name.len(), Announcement::MAX_NAME_LEN);
-                let message = format!("a name has {len} bytes; use 1 to {max}");
-                return Err(Error::config(message));
+                let message = format!("the name has {len} bytes; use 1 to {max}");
+                return Err(Error::config(message).with_path(path));
             }
         }
         let ip = self.addr.ip();
         if self.addr.port() == 0 || ip.is_unspecified() || ip.is_multicast() || ip.is_broadcast() {
             let message = format!("{} is not the address of a server", self.addr);
-            return Err(Error::config(message));
+            return Err(Error::config(message).with_path("address"));
         }
         let max = Announcement::MAX_SLOTS;
         if !(1..=max).contains(&self.slots) {
             let message = format!("the server has {} slots; announce 1 to {max}", self.slots);
-            return Err(Error::config(message));
+            return Err(Error::config(message).with_path("slots"));
         }
         Ok(())
     }
 }
 
+/// Why what was sent as an announcement names no server to use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InvalidAnnouncement {
+    /// It cannot be read in the format of announcements.
+    Unreadable,
+    /// A field is missing or of another type.
+    Incomplete,
+    /// A field has a value that no server has.
+    OutOfRange,
+}
+
+impl InvalidAnnouncement {
+    /// Returns the name of the reason in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            InvalidAnnouncement::Unreadable => "unreadable",
+            InvalidAnnouncement::Incomplete => "incomplete",
+            InvalidAnnouncement::OutOfRange => "out_of_range",
+        }
+    }
+}
+
 /// The state of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -14,7 +14,10 @@
 use set_aside::SetAside;
 
 use crate::{
-    cookie::record::{Announcement, ServerRecord, ServerState},
+    cookie::{
+        feed::UnnamedServers,
+        record::{Announcement, ServerRecord, ServerState},
+    },
     name::Name,
     time::Time,
 };
@@ -32,6 +35,9 @@
 /// the design size of the system.
 const MAX_SERVERS: usize = 70_000;
 
+/// Most servers listed by [`ServerRegistry::unnamed_servers`].
+const MAX_LISTED: usize = 500;
+
 /// The effect of an announcement or a gossiped record on the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpdateOutcome {
@@ -167,6 +173,12 @@
         self.set_aside.len()
     }
 
+    /// Returns the servers whose service is not named, as operators see them.
+    pub fn unnamed_servers(&self) -> UnnamedServers {
+        let records = self.set_aside.records().take(MAX_LISTED).cloned().collect();
+        UnnamedServers { count: self.set_aside.len() as u64, records }
+    }
+
     /// Returns whether `record` is of a server that may be used: its service is named, or was when
     /// the server was registered.
     pub fn is_named(&self, record: &ServerRecord) -> bool {
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -101,6 +101,12 @@
     AnnouncementsLate => "announcements_late",
     /// Announcements set aside because no configuration names their service.
     AnnouncementsUnnamed => "announcements_unnamed",
+    /// Bodies refused as announcements because they cannot be read.
+    AnnouncementsUnreadable => "announcements_unreadable",
+    /// Bodies refused as announcements because a field is missing or of another type.
+    AnnouncementsIncomplete => "announcements_incomplete",
+    /// Bodies refused as announcements because a field has a value that no server has.
+    AnnouncementsOutOfRange => "announcements_out_of_range",
     /// Leaves refused because their server has not announced that it drains.
     LeavesRefused => "leaves_refused",
     /// Reserved for ends of backend servers that no other VM confirmed in time; not incremented.
--- a/src/ctl/cookies.rs
+++ b/src/ctl/cookies.rs
@@ -12,9 +12,9 @@
 use crate::{
     cookie::{
         ControlLocation, Eligibility, Explanation, FeedMessage, FlowVerdict, Forwarder,
-        ForwardingPlan, PacketInfo, ServerAssessment, ServerRecord,
+        ForwardingPlan, PacketInfo, ServerAssessment, ServerRecord, UnnamedServers,
     },
-    daemon::fetch_feed_snapshot,
+    daemon::{fetch_feed_snapshot, fetch_unnamed_servers},
     error::{Error, Result},
     name::Name,
     time::Time,
@@ -68,7 +68,9 @@
     pub(super) async fn run(self, control: &[SocketAddr], json: bool) -> Result<()> {
         let (from, messages) = fetch_feed(control).await?;
         match self.action {
-            Action::Status(_) => print_status(messages, json),
+            Action::Status(_) => {
+                print_status(messages, fetch_unnamed_servers(from).await.ok(), json)
+            }
             Action::Explain(explain) => explain.run(from, messages, json),
         }
     }
@@ -98,11 +100,13 @@
     control_vms: Vec<ControlLocation>,
     plan: Option<ForwardingPlan>,
     servers: Vec<ServerRecord>,
+    /// Servers that are heard and not used; unknown to a control VM of an earlier build.
+    unnamed: Option<UnnamedServers>,
 }
 
 impl FeedStatus {
-    fn new(messages: Vec<FeedMessage>) -> FeedStatus {
-        let mut status = FeedStatus::default();
+    fn new(messages: Vec<FeedMessage>, unnamed: Option<UnnamedServers>) -> FeedStatus {
+        let mut status = FeedStatus { unnamed, ..FeedStatus::default() };
         for message in messages {
             match message {
                 FeedMessage::Plan(plan) => status.plan = Some((*plan).clone()),
@@ -120,8 +124,12 @@
     }
 }
 
-fn print_status(messages: Vec<FeedMessage>, json: bool) -> Result<()> {
-    let status = FeedStatus::new(messages);
+fn print_status(
+    messages: Vec<FeedMessage>,
+    unnamed: Option<UnnamedServers>,
+    json: bool,
+) -> Result<()> {
+    let status = FeedStatus::new(messages, unnamed);
     if json {
         return output::print_json(&status);
     }
@@ -138,7 +146,24 @@
     println!("announcements heard for {} ms\n", status.age_ms);
     let rows = status.control_vms.iter().map(|vm| vec![vm.addr.to_string(), vm.zone.to_string()]);
     output::print_table(&["control VM", "zone"], rows);
-    let rows = status.servers.iter().map(|record| {
+    println!();
+    print_servers(&status.servers);
+    match &status.unnamed {
+        Some(unnamed) if unnamed.count > 0 => {
+            println!(
+                "\nheard and not used, as no configuration names the service: {}",
+                unnamed.count
+            );
+            print_servers(&unnamed.records);
+        }
+        Some(_) => {}
+        None => println!("\nservers that are heard and not used: the control VM cannot tell"),
+    }
+    Ok(())
+}
+
+fn print_servers(servers: &[ServerRecord]) {
+    let rows = servers.iter().map(|record| {
         let server = &record.announcement;
         vec![
             format!("{:x}", server.id),
@@ -150,12 +175,10 @@
             server.warmup_left.as_millis().to_string(),
         ]
     });
-    println!();
     output::print_table(
         &["server", "service", "zone", "address", "state", "heard", "cold ms"],
         rows,
     );
-    Ok(())
 }
 
 /// The decision, printed as JSON.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -24,7 +24,7 @@
 pub use args::settings_from_args;
 pub use control::run_control;
 pub use entry::run_entry;
-pub(crate) use feed_snapshot::fetch_feed_snapshot;
+pub(crate) use feed_snapshot::{fetch_feed_snapshot, fetch_unnamed_servers};
 pub use forward::{ForwarderHandle, ForwarderSettings, PacketCodec, start_forwarder};
 pub use logging::{init_logging, init_stdout_logging};
 pub use registrar::{Registrar, RegistrarSettings, start_registrar};
--- a/src/daemon/feed_snapshot.rs
+++ b/src/daemon/feed_snapshot.rs
@@ -1,4 +1,5 @@
-//! One-off read of the feed that a control VM sends to entry VMs.
+//! One-off reads from a control VM: the feed that it sends to entry VMs, and the servers that are not
+//! part of it.
 
 use std::{io, net::SocketAddr, time::Duration};
 
@@ -6,7 +7,7 @@
 
 use super::link::{self, Ack, Hello};
 use crate::{
-    cookie::FeedMessage,
+    cookie::{FeedMessage, UnnamedServers},
     error::{Error, Result},
 };
 
@@ -20,9 +21,31 @@
 ///
 /// Fails when the control VM does not answer within 5 s.
 pub(crate) async fn fetch_feed_snapshot(control: SocketAddr) -> Result<Vec<FeedMessage>> {
-    let result = timeout(FETCH_TIMEOUT, read_messages(control))
-        .await
-        .unwrap_or_else(|elapsed| Err(elapsed.into()));
+    within_timeout(control, read_messages(control)).await
+}
+
+/// Returns the servers that announce themselves and are not part of the feed of the control VM at
+/// `control`, as no configuration names their service.
+///
+/// # Errors
+///
+/// Fails when the control VM does not answer within 5 s or, being of an earlier build, does not know
+/// the request.
+pub(crate) async fn fetch_unnamed_servers(control: SocketAddr) -> Result<UnnamedServers> {
+    let read = async {
+        let mut stream = link::connect(control, link::CONNECT_TIMEOUT).await?;
+        link::write_frame(&mut stream, &Hello::Unnamed).await?;
+        link::read_frame(&mut stream).await
+    };
+    within_timeout(control, read).await
+}
+
+async fn within_timeout<T>(
+    control: SocketAddr,
+    exchange: impl Future<Output = io::Result<T>>,
+) -> Result<T> {
+    let result =
+        timeout(FETCH_TIMEOUT, exchange).await.unwrap_or_else(|elapsed| Err(elapsed.into()));
     result.map_err(|err| {
         let message = format!("control VM {control}: {err}; name another one, or its link port");
         Error::unavailable(message)
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -73,6 +73,8 @@
         /// Address at which the VM receives presence datagrams, if it does.
         listen: Option<SocketAddr>,
     },
+    /// An operator asks for the servers whose service no configuration names.
+    Unnamed,
 }
 
 /// A message between control VMs.
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -25,7 +25,10 @@
         ControlEndpoint, ControlNode, DirDisk, Recovered, Request, Storage, Submission,
         SubmitResult,
     },
-    cookie::{Announcement, EntryVms, FeedCache, ServerRegistry},
+    cookie::{
+        Announcement, EntryVms, FeedCache, InvalidAnnouncement, ServerRegistry, UnnamedServers,
+    },
+    counter::Counter,
     error::{Error, Result},
     name::{Name, check_name},
     routing_config::RoutingConfig,
@@ -73,10 +76,12 @@
 enum Call {
     Submit(Submission, oneshot::Sender<SubmitResult>),
     Read(oneshot::Sender<Result<Reading>>),
-    /// An order was dropped, as its caller had gone.
-    Abandoned,
+    /// Something that needs no reply happened outside of the event loop.
+    Count(Counter),
     Announce(Announcement, oneshot::Sender<Result<()>>),
     Leave(u64, oneshot::Sender<Result<()>>),
+    /// An operator asks for the servers that are not used.
+    Unnamed(oneshot::Sender<UnnamedServers>),
     Peer(Vec<PeerFrame>),
     Feed(Subscriber),
     ShutDown,
@@ -165,6 +170,17 @@
         self.call(|reply| Call::Announce(announcement, reply)).await?
     }
 
+    /// Counts what was sent as an announcement and names no server to use.
+    pub fn count_invalid(&self, reason: InvalidAnnouncement) {
+        let counter = match reason {
+            InvalidAnnouncement::Unreadable => Counter::AnnouncementsUnreadable,
+            InvalidAnnouncement::Incomplete => Counter::AnnouncementsIncomplete,
+            InvalidAnnouncement::OutOfRange => Counter::AnnouncementsOutOfRange,
+        };
+        // A full queue costs no more than a count.
+        _ = self.calls.try_send(Call::Count(counter));
+    }
+
     /// Records that the server `id` has left.
     ///
     /// The report does not say which start of the server it ends, and one that was held up could end
@@ -210,7 +226,7 @@
             let age = self.arrived_at.elapsed().as_millis();
             log::info!("event=order_abandoned subject={:?} age_ms={age}", self.subject);
             // A full queue costs no more than a count.
-            _ = self.calls.try_send(Call::Abandoned);
+            _ = self.calls.try_send(Call::Count(Counter::ChangesAbandoned));
         }
     }
 }
@@ -313,6 +329,15 @@
                         Subscriber { name, zone, listen, index, push_plans, records, stream };
                     _ = calls.send(Call::Feed(subscriber)).await;
                 }
+                Ok(link::Hello::Unnamed) => {
+                    let (reply, servers) = oneshot::channel();
+                    if calls.send(Call::Unnamed(reply)).await.is_ok()
+                        && let Ok(servers) = servers.await
+                    {
+                        // The operator asks again if it does not arrive.
+                        _ = link::write_frame(&mut stream, &servers).await;
+                    }
+                }
                 Err(err) => log::warn!("event=link_refused reason={:?}", err.to_string()),
             }
         });
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -175,13 +175,14 @@
                 let ticket = self.add_pending(PendingCall::Submit(reply, subject));
                 self.handle_event(ControlEvent::Submit { ticket, submission });
             }
-            Call::Abandoned => self.counters.add(Counter::ChangesAbandoned, 1),
+            Call::Count(counter) => self.counters.add(counter, 1),
             Call::Read(reply) => {
                 let ticket = self.add_pending(PendingCall::Read(reply));
                 self.handle_event(ControlEvent::Read { ticket });
             }
             Call::Announce(announcement, reply) => self.announce(announcement, reply),
             Call::Leave(id, reply) => self.leave(id, reply),
+            Call::Unnamed(reply) => _ = reply.send(self.registry.unnamed_servers()),
             Call::Peer(frames) => self.handle_frames(frames),
             Call::ShutDown => {
                 log::info!("event=stop");
--- a/tests/ctl_cookies.rs
+++ b/tests/ctl_cookies.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, path::Path, process::Command, time::Duration};
 
 use galenatrail::{
-    Registrar, RegistrarSettings, RoutingConfig, standin::loopback, start_registrar,
+    Announcement, Registrar, RegistrarSettings, RoutingConfig, standin::loopback, start_registrar,
 };
 use serde_json::Value;
 
@@ -72,6 +72,21 @@
     assert!(done && text.contains("configuration number 4, zones out: b"), "{text}");
 }
 
+/// Guards against a server that is heard and not used, and looks as if it were not heard.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_prints_the_servers_that_are_not_used() {
+    let addr = loopback(13, 7_720);
+    let registrar = start_control("ctl-unnamed", addr).await;
+    let unused = Announcement { service: "typo".into(), ..announcement(3, "a") };
+    registrar.announce(unused).await.unwrap();
+    let feed = json(addr, &["status"]).await;
+    assert_eq!(feed["servers"].as_array().unwrap().len(), 2);
+    assert_eq!(feed["unnamed"]["count"], 1);
+    assert_eq!(feed["unnamed"]["records"][0]["announced"]["service"], "typo");
+    let (done, text) = ctl(addr, &["cookies", "status"]).await;
+    assert!(done && text.contains("heard and not used") && text.contains("typo"), "{text}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn explain_prints_why_a_server_is_selected() {
     let addr = loopback(11, 7_720);
