Request the records of a control VM that hears an unknown server

Callers would see: a control VM that had started again did not know a server that lived, for as long as the server announced itself elsewhere, and entry VMs fed by it alone opened no flow there.

Cause: a record is sent in full when it changes and when a connection is made. One that is lost between the two was never sent again, and what followed, that the server was heard, was ignored by a VM that did not know the server.

Why the fix works: such a refresh proves that the sender has a record which this VM lacks; it asks for all, once in 2 s at most. No message or form is new.

--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -100,6 +100,8 @@
     by_address: BTreeMap<SocketAddrV4, (u64, u64)>,
     /// Servers that ended because another one started at their address.
     superseded: Vec<u64>,
+    /// Whether another control VM hears a server that is not known here.
+    lacks_record: bool,
 }
 
 impl ServerRegistry {
@@ -115,6 +117,7 @@
             set_aside: SetAside::default(),
             by_address: BTreeMap::new(),
             superseded: Vec::new(),
+            lacks_record: false,
         }
     }
 
@@ -350,7 +353,10 @@
     /// delayed and be about an earlier one, whose sequence numbers are higher, unless this VM knows
     /// that there was none: it then shows that the server is heard, and its number is not taken.
     pub fn refresh(&mut self, now: Time, id: u64, sequence: u64) -> UpdateOutcome {
-        let Some(server) = self.servers.get_mut(&id) else { return UpdateOutcome::Outdated };
+        let Some(server) = self.servers.get_mut(&id) else {
+            self.lacks_record |= !self.set_aside.contains(id);
+            return UpdateOutcome::Outdated;
+        };
         let gone = server.record.state == ServerState::Gone;
         if gone || sequence <= server.record.announcement.sequence {
             return UpdateOutcome::Outdated;
@@ -366,6 +372,12 @@
         if was_silent { UpdateOutcome::Changed } else { UpdateOutcome::Unchanged }
     }
 
+    /// Returns whether, since the last call, another control VM has refreshed a server that is not
+    /// known here: its record was lost on the way.
+    pub fn take_lacks_record(&mut self) -> bool {
+        std::mem::take(&mut self.lacks_record)
+    }
+
     /// Takes what has yet to be sent to other control VMs: changed records, also of servers whose
     /// service is not named, and the number and sequence number of servers that announced themselves
     /// without a change.
--- a/src/cookie/registry/set_aside.rs
+++ b/src/cookie/registry/set_aside.rs
@@ -36,6 +36,10 @@
         self.servers.len()
     }
 
+    pub(super) fn contains(&self, id: u64) -> bool {
+        self.find(id).is_some()
+    }
+
     pub(super) fn records(&self) -> impl Iterator<Item = &ServerRecord> {
         self.servers.values().map(|server| &server.record)
     }
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -76,6 +76,8 @@
     /// Whether another control VM has sent all of its records.
     pub(super) synchronised: bool,
     gossip_due: Time,
+    /// When all records may be requested again.
+    pub(super) request_due: Time,
     pub(super) entry_gossip_due: Time,
     save_due: Time,
     /// Whether the plan or a record has changed since it was last saved.
@@ -113,6 +115,7 @@
             last_ticket: 0,
             synchronised: false,
             gossip_due: Time::ZERO,
+            request_due: Time::ZERO,
             entry_gossip_due: Time::ZERO,
             save_due: Time::ZERO + SAVE_INTERVAL,
             unsaved: false,
--- a/src/daemon/registrar/gossip.rs
+++ b/src/daemon/registrar/gossip.rs
@@ -20,6 +20,8 @@
 const ENTRY_GOSSIP_INTERVAL: Duration = Duration::from_secs(60);
 /// Registry age of another control VM from which on this start is not the end of an outage of all.
 const SETTLED_AGE: Duration = Duration::from_secs(5);
+/// Shortest interval of requests for all records.
+const REQUEST_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without gossip after which the zone of a control VM is not known to be reachable: some
 /// gossip rounds.
 const REACHABLE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -201,6 +203,10 @@
                 changed.extend(self.registry.get(id).cloned());
             }
         }
+        if self.registry.take_lacks_record() && now >= self.request_due {
+            self.request_due = now + REQUEST_INTERVAL;
+            self.request_records(from.addr);
+        }
         changed.extend(self.registry.take_superseded());
         if !changed.is_empty() {
             self.unsaved = true;
@@ -218,6 +224,19 @@
         }
     }
 
+    /// Requests all records of a control VM, as one that it sent has been lost.
+    fn request_records(&mut self, to: SocketAddr) {
+        log::info!("event=records_requested from={to}");
+        let gossip = Gossip {
+            from: self.local_location(),
+            request_all: true,
+            registry_age: None,
+            records: Vec::new(),
+            refreshed: Vec::new(),
+        };
+        self.send_to_peer(to, Outbound { message: PeerFrame::Gossip(gossip), delivered: None });
+    }
+
     /// Sends all records to a control VM, which may have missed those sent before it was connected.
     pub(super) fn send_all_records(&mut self, to: SocketAddr) {
         let registry_age = Some(self.registry.age(self.now()));
--- a/tests/server_registry.rs
+++ b/tests/server_registry.rs
@@ -263,6 +263,22 @@
     }
 }
 
+/// Guards against a server that a VM never gets to know, as its record was lost and other control VMs
+/// only say that they hear it.
+#[test]
+fn a_refresh_of_an_unknown_server_shows_that_its_record_is_lacking() {
+    let mut registry = registry().with_services(["hub".into()].into());
+    registry.announce(at(0), announcement(1, "a"));
+    registry.announce(at(0), Announcement { service: "other".into(), ..announcement(2, "a") });
+    for id in [1, 2] {
+        registry.refresh(at(400), id, 2);
+        assert!(!registry.take_lacks_record(), "server {id} is known");
+    }
+    registry.refresh(at(400), 3, 2);
+    assert!(registry.take_lacks_record());
+    assert!(!registry.take_lacks_record(), "it is asked for once");
+}
+
 /// Guards against a server that started again and counts as silent where it is heard through other
 /// control VMs only.
 #[test]
