Limit servers that are set aside apart from registered ones

Callers would see: after 70,000 heartbeats of another writer for services that do not exist, a server that starts gets no flow for up to 120 s, while its heartbeats are acknowledged.

Cause: one limit for registered servers and for those set aside; and a batch of records numbers its names with 16 bits, which 65,536 invented availability zones overflow.

Evidence: announce returns Outdated for the server; 0 servers are registered and 70,000 set aside, so that the limit was not that of registered servers.

Why the fix works: servers set aside have their own limit of 10,000, which bounds both.

Red before: invented_servers_do_not_keep_a_named_one_out (Outdated instead of Changed). Green now, with other_writers and server_registry.

--- a/src/cookie/registry.rs
+++ b/src/cookie/registry.rs
@@ -250,8 +250,7 @@
             return UpdateOutcome::Outdated;
         }
         if !self.is_named(&record) {
-            let is_full = self.is_full();
-            return self.set_aside.insert(now, record, forward, is_full);
+            return self.set_aside.insert(now, record, forward);
         }
         let id = record.announcement.id;
         let before = self.servers.get(&id).map(|server| &server.record);
@@ -305,7 +304,7 @@
     }
 
     fn is_full(&self) -> bool {
-        self.servers.len() + self.set_aside.len() >= MAX_SERVERS
+        self.servers.len() >= MAX_SERVERS
     }
 
     /// Marks the server that had the address of `record` before as gone, unless it has started again
--- a/src/cookie/registry/set_aside.rs
+++ b/src/cookie/registry/set_aside.rs
@@ -12,6 +12,11 @@
     time::Time,
 };
 
+/// Limit on records that wait, so that invented servers neither fill the memory nor overflow the names
+/// of a batch of records; above the design size of the system, as all servers wait for its first
+/// configuration.
+const MAX_WAITING: usize = 10_000;
+
 #[derive(Debug, Clone)]
 struct Waiting {
     record: ServerRecord,
@@ -44,18 +49,17 @@
         self.servers.values().map(|server| &server.record)
     }
 
-    /// Sets a record aside, unless one as new is held or, for a new server, `is_full`.
+    /// Sets a record aside, unless one as new is held or too many servers wait.
     pub(super) fn insert(
         &mut self,
         now: Time,
         record: ServerRecord,
         forward: bool,
-        is_full: bool,
     ) -> UpdateOutcome {
         let key = (record.announcement.id, record.announcement.service.clone());
         let before = self.servers.get(&key);
         if before.is_some_and(|before| record.version() <= before.record.version())
-            || (before.is_none() && is_full)
+            || (before.is_none() && self.servers.len() >= MAX_WAITING)
         {
             return UpdateOutcome::Outdated;
         }
--- a/tests/other_writers.rs
+++ b/tests/other_writers.rs
@@ -147,6 +147,20 @@
     assert!(registry.unnamed() <= 70_000, "{}", registry.unnamed());
 }
 
+/// Guards against a server that is not registered because announcements of invented servers have used
+/// up the room.
+#[test]
+fn invented_servers_do_not_keep_a_named_one_out() {
+    let mut registry = registry();
+    for id in 0..80_000 {
+        let zone = format!("zone-{id}").as_str().into();
+        registry.announce(at(10), Announcement { zone, ..unnamed(id + 2) });
+    }
+    assert_eq!(registry.announce(at(20), announcement(1, "a")), UpdateOutcome::Changed);
+    let gossip = registry.take_pending().0;
+    assert!(gossip.len() < usize::from(u16::MAX), "{} names for one batch", gossip.len());
+}
+
 /// Guards against an announcement with an invented number of slots that ends the entry VMs which
 /// read it, or stops them from selecting other servers.
 #[test]
