--- a/tests/load_summary.rs
+++ b/tests/load_summary.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use galenatrail::{ControlLocation, FeedTargets, Name, ServerRecord, ServerState};
+use galenatrail::{ControlLocation, FeedTargets, LoadView, Name, ServerRecord, ServerState};
 
 #[path = "support/cookie.rs"]
 mod cookie;
@@ -157,6 +157,19 @@
     assert_eq!(control.load.reporters(), 0);
 }
 
+/// Failure: a VM without a summary receives one that is too old.
+#[test]
+fn an_old_first_summary_is_dropped() {
+    let (_, _, mut control) = exchanged();
+    let summary = control.summaries(at(1_500)).remove(0).1;
+    assert_eq!(summary[0], 0, "the age comes first");
+    let aged = |age: u16| [&[age as u8 | 0x80, (age >> 7) as u8], &summary[1..]].concat();
+    let mut view = LoadView::new();
+    assert!(!view.update(at(5_000), &aged(2_000)));
+    assert_eq!(view.dropped(), 1);
+    assert!(view.update(at(5_000), &aged(1_999)));
+}
+
 /// Failure: summaries and reports are lost.
 #[test]
 fn lost_messages_leave_local_information() {
