--- a/tests/load_summary.rs
+++ b/tests/load_summary.rs
@@ -162,8 +162,10 @@
 fn an_old_first_summary_is_dropped() {
     let (_, _, mut control) = exchanged();
     let summary = control.summaries(at(1_500)).remove(0).1;
-    assert_eq!(summary[0], 0, "the age comes first");
-    let aged = |age: u16| [&[age as u8 | 0x80, (age >> 7) as u8], &summary[1..]].concat();
+    // The age in milliseconds as a variable-length integer.
+    let bytes = |age: u16| [age as u8 | 0x80, (age >> 7) as u8];
+    assert_eq!(summary[..2], bytes(500));
+    let aged = |age: u16| [&bytes(age), &summary[2..]].concat();
     let mut view = LoadView::new();
     assert!(!view.update(at(5_000), &aged(2_000)));
     assert_eq!(view.dropped(), 1);
