--- a/tests/support/registry_world.rs
+++ b/tests/support/registry_world.rs
@@ -8,13 +8,22 @@
 };
 
 use galenatrail::{
-    Announcement, LeaveOutcome, Name, ServerRecord, ServerRegistry, ServerState, Time,
-    UpdateOutcome,
+    Announcement, LeaveOutcome, Name, ServerRecord, ServerRegistry, Time, UpdateOutcome,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Times are in milliseconds.
+#[path = "registry_world/changes.rs"]
+mod changes;
+#[path = "registry_world/check.rs"]
+mod check;
+#[path = "registry_world/server.rs"]
+mod server;
+
+use server::{Server, find};
+
+// Times are in milliseconds.
+/// Time between two announcements of a server.
 const PERIOD: u64 = 1_200;
 const STEP: u64 = 100;
 const GOSSIP_INTERVAL: u64 = 400;
@@ -27,33 +36,8 @@
 const ADDRESS_REUSE: u64 = 2_000;
 /// Time for which a server goes on after its draining was acknowledged.
 const DRAIN_TIME: u64 = 3_000;
-/// Time without a disturbance after which each VM has to know the servers: three announcement
-/// periods, which make a server silent, a gossip round and a connection that is made anew.
-const SETTLE_TIME: u64 = 6_000;
-/// Time within which a draining that was acknowledged is known to each VM.
-const DRAIN_LIMIT: u64 = 2_000;
-
-/// A server as it is, whatever the VMs believe.
-#[derive(Debug, Clone)]
-struct Server {
-    announcement: Announcement,
-    started_at: u64,
-    ended_at: Option<u64>,
-    drains_since: Option<u64>,
-    /// When its draining was acknowledged first.
-    acknowledged_at: Option<u64>,
-    /// Until when it waits for the reply to its leave.
-    leaves_until: Option<u64>,
-    next_call: u64,
-    /// When the last of its announcements arrived, which may be long after its end.
-    heard_at: u64,
-}
-
-impl Server {
-    fn lives(&self) -> bool {
-        self.ended_at.is_none()
-    }
-}
+/// Share of the heartbeats and leaves of which a late copy arrives, per mille.
+const LATE_PERMILLE: u32 = 30;
 
 #[derive(Debug, Clone)]
 enum Message {
@@ -66,7 +50,6 @@
 
 struct Vm {
     registry: ServerRegistry,
-    is_running: bool,
     frozen_until: u64,
     /// What has arrived while it was frozen.
     inbox: Vec<Message>,
@@ -91,8 +74,6 @@
     serial: u64,
     next_id: u64,
     next_incarnation: u64,
-    /// Share of the heartbeats and leaves of which a late copy arrives, per mille.
-    pub(crate) late_permille: u32,
     rng: ChaCha8Rng,
 }
 
@@ -103,7 +84,6 @@
         let new_vm = |_| Vm {
             registry: ServerRegistry::new(Time::ZERO, Duration::from_millis(PERIOD))
                 .with_services(services.clone()),
-            is_running: true,
             frozen_until: 0,
             inbox: Vec::new(),
             disturbed_at: 0,
@@ -124,138 +104,12 @@
             serial: 0,
             next_id: 0,
             next_incarnation: 1_000,
-            late_permille: 30,
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
         (0..4).for_each(|place| world.start("hub", place));
         world
     }
 
-    /// Starts a server of `service` under a new id, at the address `place` if that is free.
-    pub(crate) fn start(&mut self, service: &str, place: u8) {
-        self.next_id += 1;
-        self.start_as(self.next_id, service, place);
-    }
-
-    /// Starts a server that has ended again, under its id, at the address `place` if that is free.
-    pub(crate) fn start_again(&mut self, number: usize, place: u8) {
-        let ended: Vec<_> = self.servers.iter().filter(|server| !server.lives()).collect();
-        if ended.is_empty() {
-            return;
-        }
-        let Announcement { id, service, .. } = ended[number % ended.len()].announcement.clone();
-        if !self.servers.iter().any(|server| server.lives() && server.announcement.id == id) {
-            self.start_as(id, &service, place);
-        }
-    }
-
-    fn start_as(&mut self, id: u64, service: &str, place: u8) {
-        let addr = address(place);
-        let is_taken = |server: &Server| {
-            let reusable = server.ended_at.map(|at| at + ADDRESS_REUSE);
-            server.announcement.addr == addr && reusable.is_none_or(|at| at > self.now)
-        };
-        if self.servers.iter().any(is_taken) {
-            return;
-        }
-        self.next_incarnation += self.rng.random_range(1..500);
-        let announcement = Announcement {
-            id,
-            service: service.into(),
-            addr,
-            zone: "a".into(),
-            draining: false,
-            warmup_left: Duration::ZERO,
-            incarnation: self.next_incarnation,
-            sequence: 0,
-            slots: 2,
-        };
-        self.servers.push(Server {
-            announcement,
-            started_at: self.now,
-            ended_at: None,
-            drains_since: None,
-            acknowledged_at: None,
-            leaves_until: None,
-            next_call: self.now,
-            heard_at: self.now,
-        });
-    }
-
-    /// Makes a server that is ready drain, and leave later.
-    pub(crate) fn drain(&mut self, number: usize) {
-        let now = self.now;
-        if let Some(server) = self.pick(number).filter(|server| server.drains_since.is_none()) {
-            server.drains_since = Some(now);
-            server.announcement.draining = true;
-            server.next_call = now;
-        }
-    }
-
-    /// Ends a server without a word.
-    pub(crate) fn crash(&mut self, number: usize) {
-        let now = self.now;
-        if let Some(server) = self.pick(number) {
-            server.ended_at = Some(now);
-        }
-    }
-
-    fn pick(&mut self, number: usize) -> Option<&mut Server> {
-        let count = self.servers.iter().filter(|server| server.lives()).count();
-        let mut living = self.servers.iter_mut().filter(|server| server.lives());
-        living.nth(number.checked_rem(count)?)
-    }
-
-    /// Sends what another writer may send: a server of a service that does not exist, with an id and
-    /// an address of servers that live or have lived.
-    pub(crate) fn interfere(&mut self, vm: usize, number: usize, place: u8) {
-        let Some(server) = self.pick(number) else { return };
-        let announcement = Announcement {
-            service: "ghost".into(),
-            addr: address(place),
-            incarnation: 1_000_000,
-            sequence: 1_000_000,
-            ..server.announcement.clone()
-        };
-        self.deliver(vm % self.vms.len(), Message::Heartbeat(announcement));
-    }
-
-    /// Names another service, which reaches the VMs one after the other.
-    pub(crate) fn name(&mut self, service: &str) {
-        self.services.insert(service.into());
-        self.named_at.entry(service.into()).or_insert(self.now);
-        for vm in 0..self.vms.len() {
-            let at = self.now + self.rng.random_range(5..800);
-            self.push(at, vm, Message::Services(self.services.clone()));
-        }
-    }
-
-    /// Suspends a VM; what it is sent meanwhile waits.
-    pub(crate) fn freeze(&mut self, vm: usize, millis: u64) {
-        let vm = vm % self.vms.len();
-        self.vms[vm].frozen_until = self.vms[vm].frozen_until.max(self.now + millis);
-        self.vms[vm].disturbed_at = self.now;
-    }
-
-    /// Kills a VM and starts it again, with what it has saved unless its disk is `wiped`.
-    pub(crate) fn restart(&mut self, number: usize, wiped: bool) {
-        let (place, now) = (number % self.vms.len(), self.now);
-        let vm = &mut self.vms[place];
-        let (saved, services) =
-            if wiped { Default::default() } else { (vm.saved.clone(), vm.saved_services.clone()) };
-        vm.registry = ServerRegistry::new(at(now), Duration::from_millis(PERIOD))
-            .with_services(services)
-            .with_cached(saved);
-        vm.inbox.clear();
-        (vm.frozen_until, vm.disturbed_at) = (0, now);
-        self.queue.retain(|_, (to, message)| {
-            *to != place || matches!(message, Message::Connected(_) | Message::Services(_))
-        });
-        let plan_at = now + self.rng.random_range(50..1_000);
-        self.push(plan_at, place, Message::Services(self.services.clone()));
-        self.connect(place);
-    }
-
     /// Makes the connections of a VM anew, after which both ends send each other all records.
     fn connect(&mut self, vm: usize) {
         for other in (0..self.vms.len()).filter(|other| *other != vm) {
@@ -398,7 +252,7 @@
     fn tick(&mut self, place: usize) {
         let now = self.now;
         let vm = &mut self.vms[place];
-        if !vm.is_running || vm.frozen_until > now {
+        if vm.frozen_until > now {
             return;
         }
         if now >= vm.next_gossip {
@@ -478,78 +332,13 @@
         };
         self.servers[place].next_call = now + wait;
         let at = now + self.rng.random_range(3..60);
-        if self.rng.random_range(0..1_000) < self.late_permille {
+        if self.rng.random_range(0..1_000) < LATE_PERMILLE {
             let late = now + self.rng.random_range(500..60_000);
             let other = self.rng.random_range(0..self.vms.len());
             self.push(late, other, message.clone());
         }
         self.push(at, vm, message);
     }
-
-    /// Returns whether no VM was disturbed in the last [`SETTLE_TIME`].
-    fn is_calm(&self) -> bool {
-        let is_calm = |vm: &Vm| vm.frozen_until == 0 && self.now >= vm.disturbed_at + SETTLE_TIME;
-        self.vms.iter().all(is_calm)
-    }
-
-    fn check(&self) -> Result<(), String> {
-        let is_calm = self.is_calm();
-        for (vm, server) in
-            (0..self.vms.len()).flat_map(|vm| self.servers.iter().map(move |s| (vm, s)))
-        {
-            let registry = &self.vms[vm].registry;
-            let announcement = &server.announcement;
-            let record = registry.get(announcement.id);
-            let own = record.filter(|r| r.announcement.incarnation == announcement.incarnation);
-            let fail = |what: &str| {
-                Err(format!(
-                    "at {} ms, VM {vm}: {what}: {server:?} is known as {record:?}",
-                    self.now
-                ))
-            };
-            let settled = |since: u64| is_calm && self.now >= since + SETTLE_TIME;
-            let is_gone = own.is_some_and(|record| record.state == ServerState::Gone);
-            if server.lives() && server.drains_since.is_none() && is_gone {
-                return fail("a server that lives is taken for gone");
-            }
-            let named_at = self.named_at.get(&announcement.service).copied();
-            let used_from = named_at.map(|at| at.max(server.started_at));
-            if server.lives() && used_from.is_some_and(settled) {
-                let state = match server.drains_since {
-                    None => Some(ServerState::Ready),
-                    Some(since) if settled(since) => Some(ServerState::Draining),
-                    Some(_) => None,
-                };
-                let is_known = own.is_some_and(|record| {
-                    !record.silent && state.is_none_or(|state| record.state == state)
-                });
-                if !is_known && server.leaves_until.is_none() {
-                    return fail("a server that lives is not used as it is");
-                }
-                if server.drains_since.is_some_and(settled) && server.acknowledged_at.is_none() {
-                    return fail("a server drains without an acknowledgement");
-                }
-            }
-            if server.ended_at.is_some_and(|at| settled(at.max(server.heard_at)))
-                && used_from.is_some_and(settled)
-                && own.is_some_and(|record| record.state != ServerState::Gone && !record.silent)
-            {
-                return fail("a server that has ended is used");
-            }
-            let is_overdue = server.acknowledged_at.is_some_and(|at| self.now >= at + DRAIN_LIMIT);
-            if is_calm && is_overdue && own.is_some_and(|record| record.state == ServerState::Ready)
-            {
-                return fail("a server that drains gets new flows");
-            }
-        }
-        Ok(())
-    }
-}
-
-fn find(servers: &mut [Server], id: u64, incarnation: u64) -> Option<&mut Server> {
-    servers.iter_mut().find(|server| {
-        server.announcement.id == id && server.announcement.incarnation == incarnation
-    })
 }
 
 /// Returns the VM whose connection `message` came on.
