Review: a planned replacement and one lost disk end the log

Cause: a control VM that is stopped for good stays a voter for 4 s; a disk lost in this time leaves one of three voters, and no quorum ever after.

--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,38 @@
+//! Stand-ins of the second review: starts the programs of the deploy file on loopback addresses and
+//! plays operators, servers and callers. `main CASE FOLDER` writes `record.txt` into FOLDER and exits
+//! with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+use std::{env, path::PathBuf, process::ExitCode};
+
+mod case_replaced;
+mod cluster;
+
+use cluster::Record;
+
+/// How a case ended.
+pub enum Verdict {
+    Broken,
+    Held,
+    NotRun,
+}
+
+fn main() -> ExitCode {
+    let args: Vec<_> = env::args().collect();
+    let [_, case, folder] = &args[..] else {
+        eprintln!("usage: main CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = env::var("TROUBLE").is_ok_and(|value| value == "0");
+    let mut record = Record::create(&PathBuf::from(folder).join("record.txt"));
+    let verdict = match case.as_str() {
+        "replaced" => case_replaced::run(&mut record, !trouble),
+        _ => Verdict::NotRun,
+    };
+    let (code, text) = match verdict {
+        Verdict::Broken => (1, "the rule was broken"),
+        Verdict::Held => (0, "the rule held"),
+        Verdict::NotRun => (2, "the case could not run"),
+    };
+    record.line(text);
+    ExitCode::from(code)
+}
