Review: one disk lost during the first start hangs the system

Cause: only the seed with the lowest name may form the log, and a control VM that has lost its disk never does.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,8 @@
 
 use std::{env, path::PathBuf, process::ExitCode};
 
+mod case_first;
+mod case_invalid;
 mod case_replaced;
 mod cluster;
 
@@ -25,6 +27,8 @@
     let trouble = env::var("TROUBLE").is_ok_and(|value| value == "0");
     let mut record = Record::create(&PathBuf::from(folder).join("record.txt"));
     let verdict = match case.as_str() {
+        "invalid" => case_invalid::run(&mut record, !trouble),
+        "first" => case_first::run(&mut record, !trouble),
         "replaced" => case_replaced::run(&mut record, !trouble),
         _ => Verdict::NotRun,
     };
