--- a/review/standin-2/case_invalid.rs
+++ b/review/standin-2/case_invalid.rs
@@ -32,10 +32,20 @@
         return Verdict::NotRun;
     };
     record.line(&format!("read back: {held}"));
+    if trouble && status == 200 {
+        record.line("the operator corrects it and sends it again under the same number");
+        let corrected = config(2);
+        let answer = http(site.addr(12, CONTROL_PORT), "POST", "/api/config/replace", &corrected);
+        record.line(&format!("12 answers {:?}", answer.map(|(status, _)| status)));
+        let held = operator.call(&site, record, read, Duration::from_secs(10));
+        let is_corrected = held.is_some_and(|(_, held)| held == corrected);
+        record.line(&format!("the corrected one is read back: {is_corrected}"));
+    }
     let in_force = status == 200 || held.contains("\"version\":2");
-    match in_force == trouble {
-        true if trouble => Verdict::Broken,
-        true => Verdict::NotRun,
-        false => Verdict::Held,
+    match (trouble, in_force) {
+        (true, true) => Verdict::Broken,
+        (true, false) | (false, true) => Verdict::Held,
+        // A valid configuration was refused, which this case is not about.
+        (false, false) => Verdict::NotRun,
     }
 }
