Review: a heartbeat with unreadable bytes ends a server that lives

Cause: bytes that are not UTF-8 are not looked at in fields that are not used, so that a heartbeat of another writer counts as a start at the address of a server.

--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -190,14 +190,26 @@
 
 /// Sends one HTTP request; returns the status and the body, or `None` without an answer in a second.
 pub fn http(addr: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    http_bytes(addr, method, path, body.as_bytes())
+}
+
+/// Sends one HTTP request with a body of any bytes.
+pub fn http_bytes(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &[u8],
+) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&addr, CALL_TIMEOUT).ok()?;
     stream.set_read_timeout(Some(CALL_TIMEOUT)).ok()?;
     let len = body.len();
-    let request = format!(
+    let mut request = format!(
         "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n\
-         Connection: close\r\nContent-Length: {len}\r\n\r\n{body}"
-    );
-    stream.write_all(request.as_bytes()).ok()?;
+         Connection: close\r\nContent-Length: {len}\r\n\r\n"
+    )
+    .into_bytes();
+    request.extend(body);
+    stream.write_all(&request).ok()?;
     let mut answer = Vec::new();
     stream.read_to_end(&mut answer).ok()?;
     let answer = String::from_utf8_lossy(&answer).into_owned();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,10 +9,12 @@
     process::ExitCode,
 };
 
+mod case_bytes;
 mod case_first;
 mod case_invalid;
 mod case_replaced;
 mod cluster;
+mod flow;
 
 use cluster::Record;
 
@@ -33,6 +35,7 @@
     let mut record = Record::create(&PathBuf::from(folder).join("record.txt"));
     // A panic, as without the programs, ends the processes that were started.
     let verdict = panic::catch_unwind(AssertUnwindSafe(|| match case.as_str() {
+        "bytes" => case_bytes::run(&mut record, trouble),
         "invalid" => case_invalid::run(&mut record, trouble),
         "first" => case_first::run(&mut record, trouble),
         "replaced" => case_replaced::run(&mut record, trouble),
