--- a/review/standin-2/flow.rs
+++ b/review/standin-2/flow.rs
@@ -20,6 +20,8 @@
 /// Address and port of the route of [`crate::cluster::config`].
 const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8080);
 
+/// A client heeds a reset of the system only if its number is this near to the client's last `ack`.
+const RESET_WINDOW: u32 = 76_800;
 /// Length of an answer, in bytes.
 const ANSWER_LEN: usize = 1_100;
 
@@ -217,8 +219,8 @@
             _ = self.socket.send_to(&packet.encode(), self.entry);
             let Some(answer) = self.receive(Duration::from_millis(wait)) else { continue };
             if answer.flags & RST != 0 {
-                let system = answer.sum == 0;
-                reply = if system { Reply::SystemReset } else { Reply::ServerReset };
+                let Some(reset) = self.heed(&answer) else { continue };
+                reply = reset;
             } else if !answer.data.is_empty() {
                 self.seq = answer.ack;
                 self.ack = answer.seq.wrapping_add(answer.data.len() as u32);
@@ -232,6 +234,14 @@
         reply
     }
 
+    /// Tells whose a reset is; `None` if it is outside of the window or not of the route.
+    fn heed(&self, packet: &Packet) -> Option<Reply> {
+        let distance = (packet.seq.wrapping_sub(self.ack) as i32).unsigned_abs();
+        let valid = packet.src == ROUTE && packet.data.is_empty() && distance <= RESET_WINDOW;
+        let reply = if packet.sum == 0 { Reply::SystemReset } else { Reply::ServerReset };
+        valid.then_some(reply)
+    }
+
     fn acknowledge(&self) {
         let mut packet = Packet::new(self.src, ROUTE, ACK);
         (packet.seq, packet.ack, packet.echo) = (self.seq, self.ack, self.echo);
@@ -241,8 +251,10 @@
     /// Waits for a reset without sending anything.
     pub fn await_reset(&mut self, record: &mut Record, wait: Duration) -> Option<Reply> {
         let packet = self.receive(wait).filter(|packet| packet.flags & RST != 0)?;
-        let reply = if packet.sum == 0 { Reply::SystemReset } else { Reply::ServerReset };
-        record.line(&format!("caller {}: gets a reset unasked: {reply:?}", self.src));
+        let reply = self.heed(&packet)?;
+        let (seq, ack) = (packet.seq, self.ack);
+        let text = format!("gets a reset unasked, seq {seq}, own ack {ack}: {reply:?}");
+        record.line(&format!("caller {}: {text}", self.src));
         Some(reply)
     }
 
