--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -1,10 +1,13 @@
 //! Status of a control VM as shown to operators.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use super::{ControlAction, ControlEvent, ControlNode, replica::ReplicaId};
+use super::{
+    ControlAction, ControlEvent, ControlNode,
+    replica::{ControlEndpoint, ReplicaId},
+};
 use crate::{name::Name, time::Time};
 
 /// Role of a replica.
@@ -96,8 +99,8 @@
         }
     }
 
-    /// Handles one event. Returns the actions, and a log line if the role, term, leader or number
-    /// of voters changed.
+    /// Handles one event. Returns the actions, and a log line if the role, term, leader or members
+    /// changed.
     pub(crate) fn handle_logged(
         &mut self,
         now: Time,
@@ -118,8 +121,17 @@
             Role::Outside => "outside of the log",
             Role::Halted => "halted by its disk",
         };
-        let voters = self.replica().members().voters.len();
-        format!("{role} in term {}, leader: {leader}, voters: {voters}", self.replica().term())
+        let (term, members) = (self.replica().term(), self.replica().members());
+        let names = |replicas: &BTreeMap<_, ControlEndpoint>| {
+            replicas.values().map(|endpoint| &*endpoint.name).collect::<Vec<_>>().join(" ")
+        };
+        format!(
+            "{role} in term {term}, leader: {leader}, voters: {} ({}), observers: {} ({})",
+            members.voters.len(),
+            names(&members.voters),
+            members.learners.len(),
+            names(&members.learners)
+        )
     }
 
     fn role(&self) -> Role {
