--- a/src/control.rs
+++ b/src/control.rs
@@ -210,6 +210,12 @@
         Error::unavailable(message)
     }
 
+    /// Returns whether this VM, which is about to end, is a voter whose place another one could take.
+    pub fn awaits_replacement(&self) -> bool {
+        let wanted = self.replica.voter_count();
+        self.replica.is_voter() && wanted > 0 && self.replica.members().iter().count() > wanted
+    }
+
     /// Returns whether all entries known to be committed are applied and the leader was in contact
     /// recently.
     pub fn is_up_to_date(&self, now: Time) -> bool {
@@ -239,8 +245,11 @@
                 self.replica.halt();
             }
             ControlEvent::Recovered(recovered) => {
-                let voters = self.replica.voter_count();
+                let (voters, stopping) = (self.replica.voter_count(), self.replica.is_stopping());
                 self.replica = Replica::new(now, recovered).with_voter_count(voters);
+                if stopping {
+                    self.replica.stop(now, &mut actions);
+                }
             }
             ControlEvent::Message(envelope) => {
                 self.handle_message(now, envelope, &mut actions, out)
@@ -251,7 +260,7 @@
             ControlEvent::Read { ticket } => {
                 self.start_read(now, ticket, None, &mut actions, out);
             }
-            ControlEvent::Stop => self.replica.step_down(now, &mut actions),
+            ControlEvent::Stop => self.replica.stop(now, &mut actions),
             ControlEvent::Tick => self.handle_tick(now, &mut actions, out),
         }
         self.apply_committed(now, &mut actions, out);
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -48,6 +48,8 @@
 const READ_LEASE: Duration = Duration::from_millis(1_200);
 /// Interval after which an unacknowledged snapshot is sent again.
 const SNAPSHOT_RETRY_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Interval at which a voter that is about to end tells the leader so.
+const STOP_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of entries in one message.
 const MAX_APPEND_ENTRIES: usize = 256;
 
@@ -142,6 +144,8 @@
     voter_count: usize,
     /// Latest term whose leader stepped down.
     ended_term: u64,
+    /// When the leader is told again that this replica is about to end, if it is.
+    stop_due: Option<Time>,
 }
 
 impl Replica {
@@ -171,6 +175,7 @@
             halted: false,
             voter_count: 0,
             ended_term: 0,
+            stop_due: None,
         };
         replica.update_members();
         replica.reset_election_deadline(now);
@@ -215,6 +220,12 @@
         &self.members
     }
 
+    /// Returns whether this replica counts for a quorum, as far as it knows.
+    pub fn is_voter(&self) -> bool {
+        let is_settled = self.members_index <= self.commit_index;
+        self.members.voters.contains_key(&self.id) || !is_settled
+    }
+
     /// Returns the last index known to be committed.
     pub fn commit_index(&self) -> u64 {
         self.commit_index
@@ -307,6 +318,7 @@
         }
         match self.role {
             Role::Leader(_) => self.tick_leader(now, out),
+            _ if self.is_stopping() => self.tick_stopping(now, out),
             _ if now >= self.election_deadline => self.start_pre_vote(now, out),
             _ => {}
         }
@@ -378,6 +390,9 @@
                 self.follow_sender(now, from, term, sent, out);
                 self.handle_snapshot(snapshot, out);
             }
+            ReplicaMessage::StepDown { term } if self.is_leader() => {
+                self.handle_stopping(now, from, term, out);
+            }
             ReplicaMessage::StepDown { term } => self.handle_step_down(now, from, term),
             ReplicaMessage::AppendAccepted { term, .. }
             | ReplicaMessage::AppendRejected { term, .. }
--- a/src/control/replica/change.rs
+++ b/src/control/replica/change.rs
@@ -39,6 +39,21 @@
         }
     }
 
+    /// Records, as the leader, that `from` is about to end. The replies to the heartbeat show which
+    /// replicas could take its place.
+    pub(super) fn handle_stopping(
+        &mut self,
+        now: Time,
+        from: ReplicaId,
+        term: u64,
+        out: &mut Actions,
+    ) {
+        let Some(leader) = self.leader_state(term) else { return };
+        if leader.record_stopping(now, from) {
+            self.broadcast(now, out);
+        }
+    }
+
     /// Sends missing entries or a heartbeat to every replica.
     pub(super) fn broadcast(&mut self, now: Time, out: &mut Actions) {
         let Role::Leader(leader) = &self.role else { return };
@@ -87,8 +102,7 @@
         let (base, last) = (self.log.base().index, self.last().index);
         let Some(leader) = self.leader_state(term) else { return };
         let Some(peer) = leader.peers.get_mut(&from) else { return };
-        peer.heard_at = now;
-        peer.acked_sent = peer.acked_sent.max(sent);
+        peer.record_reply(now, sent);
         peer.match_index = peer.match_index.max(index.min(last));
         if peer.next_index <= peer.match_index {
             peer.next_index = peer.match_index + 1;
@@ -113,8 +127,7 @@
     ) {
         let Some(leader) = self.leader_state(term) else { return };
         let Some(peer) = leader.peers.get_mut(&from) else { return };
-        peer.heard_at = now;
-        peer.acked_sent = peer.acked_sent.max(sent);
+        peer.record_reply(now, sent);
         let next = (hint.saturating_add(1)).max(peer.match_index + 1);
         if next < peer.next_index {
             peer.next_index = next;
@@ -160,7 +173,8 @@
     /// A replica joins as a learner. It is promoted to voter once it has synced all committed
     /// entries, if its control VM is in `wanted`, replaces an unreachable voter of the same name,
     /// or fills a missing place (see [`Replica::with_voter_count`]). A replaced voter is removed
-    /// afterwards.
+    /// afterwards. One that has announced its end is replaced while it still runs, and stays a
+    /// learner.
     pub fn propose_membership(&mut self, now: Time, wanted: &BTreeSet<Name>, out: &mut Actions) {
         let Role::Leader(leader) = &self.role else { return };
         // An entry of the current term must be committed first. Otherwise two leaders could apply
@@ -168,9 +182,12 @@
         if self.members_index > self.commit_index || self.commit_index < leader.term_start {
             return;
         }
-        let next =
-            self.next_removal(now, leader).or_else(|| self.next_promotion(now, leader, wanted));
-        if let Some(members) = next.or_else(|| self.next_learner(now, leader)) {
+        let next = self
+            .next_removal(now, leader)
+            .or_else(|| self.next_demotion(now, leader))
+            .or_else(|| self.next_promotion(now, leader, wanted));
+        let next = next.or_else(|| self.next_learner(now, leader));
+        if let Some(members) = next.or_else(|| self.next_departure(now, leader)) {
             self.propose(now, Payload::Members(members), out);
         }
     }
@@ -192,6 +209,16 @@
         Some(members)
     }
 
+    /// Returns the membership without a learner that has been silent for long. It joins again once
+    /// it is back.
+    fn next_departure(&self, now: Time, leader: &LeaderState) -> Option<Members> {
+        let mut learners = self.members.learners.keys();
+        let gone = *learners.find(|learner| leader.is_gone(now, **learner))?;
+        let mut members = self.members.clone();
+        members.learners.remove(&gone);
+        Some(members)
+    }
+
     fn next_promotion(
         &self,
         now: Time,
@@ -209,7 +236,7 @@
                 .peers
                 .get(&replica)
                 .is_some_and(|peer| peer.match_index >= self.commit_index);
-            free && caught_up && leader.is_learner_reachable(now, replica)
+            free && caught_up && leader.is_fit(now, replica, &self.members)
         };
         let (&replica, _) =
             self.members.learners.iter().find(|(replica, endpoint)| is_due(**replica, endpoint))?;
@@ -219,17 +246,41 @@
         Some(members)
     }
 
-    /// Returns whether fewer than the desired number of voters remain, not counting lost ones.
+    /// Returns whether fewer than the desired number of voters remain, not counting those that are
+    /// lost or about to end.
     fn lacks_voter(&self, now: Time, leader: &LeaderState) -> bool {
-        let remains = |voter: &&ReplicaId| **voter == self.id || !leader.is_lost(now, **voter);
+        let remains = |voter: &&ReplicaId| {
+            **voter == self.id || !(leader.is_lost(now, **voter) || leader.is_stopping(**voter))
+        };
         self.members.voters.keys().filter(remains).count() < self.voter_count
     }
 
     /// Returns a lost voter if there are more voters than desired.
     fn lost_voter(&self, now: Time, leader: &LeaderState) -> Option<ReplicaId> {
-        let has_excess = self.voter_count > 0 && self.members.voters.len() > self.voter_count;
         let lost = |voter: &&ReplicaId| **voter != self.id && leader.is_lost(now, **voter);
-        self.members.voters.keys().find(lost).copied().filter(|_| has_excess)
+        self.members.voters.keys().find(lost).copied().filter(|_| self.has_excess())
+    }
+
+    fn has_excess(&self) -> bool {
+        self.voter_count > 0 && self.members.voters.len() > self.voter_count
+    }
+
+    /// Returns the membership with one voter less, which becomes a learner, if there are more voters
+    /// than desired: one that is about to end, or the one that is furthest behind if all of them are
+    /// reachable. An excess voter that is not reachable comes back, or is lost and removed.
+    fn next_demotion(&self, now: Time, leader: &LeaderState) -> Option<Members> {
+        if !self.has_excess() {
+            return None;
+        }
+        let others = || self.members.voters.keys().copied().filter(|voter| *voter != self.id);
+        let stopping = others().find(|voter| leader.is_stopping(*voter));
+        let settled = || others().all(|voter| leader.is_reachable(now, voter));
+        let behind = || others().min_by_key(|voter| leader.match_index(*voter));
+        let voter = stopping.or_else(|| behind().filter(|_| settled()))?;
+        let mut members = self.members.clone();
+        let endpoint = members.voters.remove(&voter)?;
+        members.learners.insert(voter, endpoint);
+        Some(members)
     }
 
     /// Returns the membership without a voter that has been replaced.
--- a/src/control/replica/elect.rs
+++ b/src/control/replica/elect.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::{
-    Actions, ELECTION_TIMEOUT, Replica, Role, STEP_DOWN_JITTER_DIVISOR,
+    Actions, ELECTION_TIMEOUT, Replica, Role, STEP_DOWN_JITTER_DIVISOR, STOP_INTERVAL,
     lead::LeaderState,
     message::{Entry, HardState, LogId, Payload, ReplicaId, ReplicaMessage},
 };
@@ -105,9 +105,33 @@
         if *pre_vote { self.start_election(now, out) } else { self.become_leader(now, out) }
     }
 
+    /// Prepares for the end of the process: gives up leadership and asks the leader to let another
+    /// replica take its place as a voter. It starts no election from now on.
+    ///
+    /// If the process ends while [`Replica::is_voter`] holds, the log bears one loss less until it is
+    /// back or replaced.
+    pub fn stop(&mut self, now: Time, out: &mut Actions) {
+        self.stop_due = Some(now);
+        self.step_down(now, out);
+    }
+
+    /// Returns whether the process is about to end.
+    pub fn is_stopping(&self) -> bool {
+        self.stop_due.is_some()
+    }
+
+    /// Tells the leader that this replica is about to end. A learner does so, too, as it must not be
+    /// made a voter now.
+    pub(super) fn tick_stopping(&mut self, now: Time, out: &mut Actions) {
+        let is_due = self.stop_due.is_some_and(|due| now >= due);
+        let Some(leader) = self.leader.filter(|_| is_due) else { return };
+        self.stop_due = Some(now + STOP_INTERVAL);
+        self.send(leader, ReplicaMessage::StepDown { term: self.hard_state.term }, out);
+    }
+
     /// Gives up leadership and tells the voters, so that they elect a new leader without waiting
     /// for the election timeout.
-    pub fn step_down(&mut self, now: Time, out: &mut Actions) {
+    fn step_down(&mut self, now: Time, out: &mut Actions) {
         if !self.is_leader() {
             return;
         }
--- a/src/control/replica/lead.rs
+++ b/src/control/replica/lead.rs
@@ -14,6 +14,11 @@
 const REPLACE_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Time without a reply after which a learner counts as unreachable.
 const LEARNER_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Time without a reply after which a learner leaves the membership.
+const DEPARTURE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time after the last announcement of its end after which a replica that replies has started again.
+/// Longer than a reply may be under way.
+const STOP_TTL: Duration = Duration::from_millis(1_000);
 /// Maximum number of pending join requests.
 const MAX_JOINING: usize = 64;
 
@@ -30,6 +35,18 @@
     pub(crate) acked_sent: Time,
     /// Time at which the last snapshot was sent, until it is acknowledged.
     pub(crate) snapshot_sent: Option<Time>,
+    /// Times of the first and the latest announcement that it is about to end. Kept until it is heard
+    /// again, so that it gets no place back before.
+    pub(crate) stopping: Option<[Time; 2]>,
+}
+
+impl Peer {
+    /// Records a reply that acknowledges a message sent at `sent`.
+    pub(crate) fn record_reply(&mut self, now: Time, sent: Time) {
+        self.heard_at = now;
+        self.acked_sent = self.acked_sent.max(sent);
+        self.stopping.take_if(|[_, latest]| now.since(*latest) >= STOP_TTL);
+    }
 }
 
 /// Volatile state of a leader.
@@ -73,6 +90,7 @@
                 heard_at: now,
                 acked_sent: Time::ZERO,
                 snapshot_sent: None,
+                stopping: None,
             });
         }
     }
@@ -95,11 +113,43 @@
         self.peers.get(&replica).is_some_and(|peer| now.since(peer.heard_at) >= REPLACE_TIMEOUT)
     }
 
+    /// Returns whether the learner `replica` has not replied for [`DEPARTURE_TIMEOUT`].
+    pub(crate) fn is_gone(&self, now: Time, replica: ReplicaId) -> bool {
+        self.peers.get(&replica).is_some_and(|peer| now.since(peer.heard_at) >= DEPARTURE_TIMEOUT)
+    }
+
     /// Returns whether `replica` has replied within [`LEARNER_TIMEOUT`].
     pub(crate) fn is_learner_reachable(&self, now: Time, replica: ReplicaId) -> bool {
         self.peers.get(&replica).is_some_and(|peer| now.since(peer.heard_at) < LEARNER_TIMEOUT)
     }
 
+    /// Returns the highest log index known to be synced on `replica`.
+    pub(crate) fn match_index(&self, replica: ReplicaId) -> u64 {
+        self.peers.get(&replica).map_or(0, |peer| peer.match_index)
+    }
+
+    /// Records that `replica` is about to end; returns whether this is news.
+    pub(crate) fn record_stopping(&mut self, now: Time, replica: ReplicaId) -> bool {
+        let Some(peer) = self.peers.get_mut(&replica) else { return false };
+        let first = peer.stopping.map_or(now, |[first, _]| first);
+        peer.stopping.replace([first, now]).is_none()
+    }
+
+    /// Returns whether `replica` has announced its end and has not been heard since.
+    pub(crate) fn is_stopping(&self, replica: ReplicaId) -> bool {
+        self.peers.get(&replica).is_some_and(|peer| peer.stopping.is_some())
+    }
+
+    /// Returns whether `replica` may become a voter: it is not about to end, and it has replied
+    /// lately, in any case since each voter that is about to end has announced it.
+    pub(crate) fn is_fit(&self, now: Time, replica: ReplicaId, members: &Members) -> bool {
+        let Some(peer) = self.peers.get(&replica) else { return false };
+        let mut voters = members.voters.keys().filter_map(|voter| self.peers.get(voter));
+        self.is_learner_reachable(now, replica)
+            && peer.stopping.is_none()
+            && voters.all(|voter| voter.stopping.is_none_or(|[first, _]| peer.heard_at > first))
+    }
+
     /// Returns whether a quorum of voters is reachable (check-quorum; Ongaro's thesis, 6.2).
     pub(crate) fn has_quorum(&self, now: Time, me: ReplicaId, members: &Members) -> bool {
         let is_reachable =
@@ -110,11 +160,7 @@
     /// Returns the highest index synced by a quorum; `synced` is the leader's synced index.
     pub(crate) fn quorum_index(&self, me: ReplicaId, members: &Members, synced: u64) -> u64 {
         let index = |replica: ReplicaId| {
-            if replica == me {
-                synced
-            } else {
-                self.peers.get(&replica).map_or(0, |p| p.match_index)
-            }
+            if replica == me { synced } else { self.match_index(replica) }
         };
         quorum_value(members, index)
     }
--- a/src/control/replica/message.rs
+++ b/src/control/replica/message.rs
@@ -181,10 +181,10 @@
         /// Time at which the leader sent the message.
         sent: Time,
     },
-    /// Announces that the leader steps down, so that followers need not wait for the election
-    /// timeout.
+    /// Announces that the sender is about to end. Followers of a leader need not wait for the
+    /// election timeout; a leader gives the place of a voter to another replica.
     StepDown {
-        /// Term of the leader.
+        /// Term of the sender.
         term: u64,
     },
     /// Acknowledges the leader's log up to `index` as synced.
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -6,7 +6,7 @@
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot},
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 mod event_loop;
@@ -44,6 +44,9 @@
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for a VM that shuts down to hand over leadership: a few round trips.
 const HANDOVER_TIME: Duration = Duration::from_millis(150);
+/// Longest time for a VM that shuts down to hand over its place in the log: an election, and two
+/// entries on a slow disk.
+const REPLACE_TIME: Duration = Duration::from_secs(2);
 
 /// Time for which the caller of an unnumbered order has to wait before it is carried out: if the caller
 /// gave up while a link was cut, the order and the end of the connection arrive within a round trip
@@ -84,7 +87,8 @@
     Unnamed(oneshot::Sender<UnnamedServers>),
     Peer(Vec<PeerFrame>),
     Feed(Subscriber),
-    ShutDown,
+    /// Replies once the log does not count on this VM.
+    ShutDown(oneshot::Sender<()>),
 }
 
 /// A reading of the replicated state that no acknowledged change is missing from.
@@ -154,11 +158,17 @@
         Ok(self.call(Call::Read).await??.config)
     }
 
-    /// Shuts down gracefully: leadership moves to another control VM first.
+    /// Shuts down gracefully: leadership, and the place as a voter, move to other control VMs first.
+    ///
+    /// Takes 2 s at most. If no other control VM can take the place, this one keeps it.
     pub async fn shut_down(&self) {
+        let (reply, replaced) = oneshot::channel();
         // If the call cannot be sent, the event loop has already ended.
-        _ = self.calls.send(Call::ShutDown).await;
-        sleep(HANDOVER_TIME).await;
+        _ = self.calls.send(Call::ShutDown(reply)).await;
+        let (outcome, ()) = tokio::join!(timeout(REPLACE_TIME, replaced), sleep(HANDOVER_TIME));
+        if outcome.is_err() {
+            log::warn!("event=not_replaced waited_ms={}", REPLACE_TIME.as_millis());
+        }
     }
 
     /// Records an announcement of a backend server.
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -83,6 +83,8 @@
     /// Whether the plan or a record has changed since it was last saved.
     pub(super) unsaved: bool,
     heartbeat_due: Time,
+    /// Notified once this VM may end, if it is shutting down.
+    stopped: Option<oneshot::Sender<()>>,
     started_at: Instant,
 }
 
@@ -120,6 +122,7 @@
             save_due: Time::ZERO + SAVE_INTERVAL,
             unsaved: false,
             heartbeat_due: Time::ZERO,
+            stopped: None,
             started_at: Instant::now(),
         }
     }
@@ -149,6 +152,12 @@
             if self.publisher.publish(self.node.state()) {
                 self.name_services();
             }
+            if !self.node.awaits_replacement()
+                && let Some(stopped) = self.stopped.take()
+            {
+                // The stop may have timed out.
+                _ = stopped.send(());
+            }
         }
     }
 
@@ -187,9 +196,10 @@
             Call::Leave(id, reply) => self.leave(id, reply),
             Call::Unnamed(reply) => _ = reply.send(self.registry.unnamed_servers()),
             Call::Peer(frames) => self.handle_frames(frames),
-            Call::ShutDown => {
+            Call::ShutDown(reply) => {
                 log::info!("event=stop");
                 self.handle_event(ControlEvent::Stop);
+                self.stopped = Some(reply);
             }
             Call::Feed(subscriber) => {
                 if let Some(addr) = subscriber.listen {
--- a/tests/voter_places.rs
+++ b/tests/voter_places.rs
@@ -127,3 +127,145 @@
         assert_eq!(replicas.violations, Vec::<String>::new());
     }
 }
+
+/// Stops a VM as planned; it runs until its place is taken.
+fn stop(replicas: &mut Replicas, vm: &str) {
+    replicas.notify_stop(vm);
+    let may_end = |replicas: &Replicas| !replicas.node(vm).unwrap().awaits_replacement();
+    assert!(replicas.run_until(STOP_TIME, may_end), "{vm}: {:?}", voters(replicas));
+    replicas.crash(vm, 0);
+}
+
+/// Time for which a VM that stops waits for its replacement.
+const STOP_TIME: Duration = Duration::from_secs(2);
+
+fn accept(replicas: &mut Replicas, vm: &str, zone: &str) {
+    let command = Command::Zone { zone: zone.into(), out: true };
+    let ticket = replicas.submit(vm, Submission::new(command));
+    replicas.run(Duration::from_secs(1));
+    let result = replicas.submit_results.get(&ticket);
+    let accepted = matches!(result, Some(SubmitResult::Ordered(Outcome::Accepted { .. })));
+    assert!(accepted, "{vm}: {result:?}");
+}
+
+/// Guards against a stopped control VM that counts as a voter while another one loses its disk.
+#[test]
+fn a_planned_stop_and_a_lost_disk_leave_a_quorum() {
+    for seed in 70..106 {
+        let mut replicas = new_cluster(seed);
+        if seed % 2 == 0 {
+            replicas.add_observer("spare-2", 10);
+            replicas.run(Duration::from_secs(4));
+        }
+        let stopped = format!("control-{}", seed % 3 + 1);
+        stop(&mut replicas, &stopped);
+        replicas.run(Duration::from_millis(100 * (seed % 10)));
+        assert_eq!(voters(&replicas).len(), 3, "seed {seed}");
+        assert!(!voters(&replicas).contains(&stopped), "seed {seed}");
+        let lost = voters(&replicas)[seed as usize % 3].clone();
+        accept(&mut replicas, &lost, "plovdiv");
+        replicas.wipe(&lost);
+        replicas.run(Duration::from_secs(3));
+        replicas.start(&lost);
+        assert!(replicas.run_until(LIMIT, Replicas::all_voters_synced), "seed {seed}");
+        let leader = replicas.leader().unwrap();
+        assert!(replicas.node(&leader).unwrap().state().zones_out.contains_key("plovdiv"));
+        accept(&mut replicas, &leader, "varna");
+        assert_eq!(replicas.violations, Vec::<String>::new());
+    }
+}
+
+/// Guards against a rolling restart that leaves fewer voters, or a voter that does not run.
+#[test]
+fn a_rolling_restart_leaves_as_many_voters() {
+    for seed in 110..116 {
+        let mut replicas = new_cluster(seed);
+        for vm in replicas.vm_names() {
+            stop(&mut replicas, &vm);
+            assert_eq!(voters(&replicas).len(), 3, "seed {seed}, {vm} is down");
+            assert!(!voters(&replicas).contains(&vm.to_string()), "seed {seed}, {vm} is down");
+            replicas.run(Duration::from_secs(1));
+            replicas.start(&vm);
+            replicas.run(Duration::from_secs(4));
+        }
+        assert!(replicas.run_until(LIMIT, Replicas::all_voters_synced), "seed {seed}");
+        let leader = replicas.leader().unwrap();
+        let members = replicas.node(&leader).unwrap().replica().members();
+        assert_eq!((members.voters.len(), members.learners.len()), (3, 1), "seed {seed}");
+        assert_eq!(replicas.violations, Vec::<String>::new());
+    }
+}
+
+/// Guards against a restart that costs a voter its place though nobody can take it.
+#[test]
+fn without_an_observer_that_runs_a_voter_that_stops_keeps_its_place() {
+    for seed in 120..126 {
+        let mut replicas = new_cluster(seed);
+        let before = voters(&replicas);
+        replicas.crash("spare-1", 0);
+        let stopped = &before[seed as usize % 3];
+        replicas.notify_stop(stopped);
+        replicas.run(STOP_TIME);
+        replicas.crash(stopped, 0);
+        replicas.run(Duration::from_secs(1));
+        replicas.start(stopped);
+        replicas.run(Duration::from_secs(8));
+        assert_eq!(voters(&replicas), before, "seed {seed}");
+        assert_eq!(replicas.violations, Vec::<String>::new());
+    }
+}
+
+/// Guards against a place that goes to an observer that is itself about to end.
+#[test]
+fn an_observer_that_stops_takes_no_place() {
+    for seed in 130..136 {
+        let mut replicas = new_cluster(seed);
+        let before = voters(&replicas);
+        replicas.notify_stop("spare-1");
+        replicas.run(Duration::from_millis(150));
+        replicas.notify_stop(&before[seed as usize % 3]);
+        replicas.run(Duration::from_millis(500));
+        assert_eq!(voters(&replicas), before, "seed {seed}");
+    }
+}
+
+/// Guards against control VMs that stop together and take each other's places for good.
+#[test]
+fn control_vms_that_stop_together_are_all_members_again() {
+    for seed in 140..146 {
+        let mut replicas = new_cluster(seed);
+        for vm in replicas.vm_names() {
+            replicas.notify_stop(&vm);
+            replicas.run(Duration::from_millis(30 * (seed - 140)));
+        }
+        replicas.run(STOP_TIME);
+        for vm in replicas.vm_names() {
+            replicas.crash(&vm, 0);
+        }
+        for vm in replicas.vm_names() {
+            replicas.start(&vm);
+        }
+        assert!(replicas.run_until(LIMIT, Replicas::all_voters_synced), "seed {seed}");
+        let leader = replicas.leader().unwrap();
+        accept(&mut replicas, &leader, "plovdiv");
+        assert_eq!(replicas.violations, Vec::<String>::new());
+    }
+}
+
+/// Guards against a membership that keeps each control VM that was ever replaced.
+#[test]
+fn a_replaced_control_vm_leaves_the_membership_and_may_come_back() {
+    let mut replicas = new_cluster(150);
+    stop(&mut replicas, "control-2");
+    let is_learner = |replicas: &Replicas| {
+        let leader = replicas.leader().unwrap();
+        let members = replicas.node(&leader).unwrap().replica().members();
+        members.learners.values().any(|seat| &*seat.name == "control-2")
+    };
+    assert!(is_learner(&replicas));
+    replicas.run(Duration::from_secs(90));
+    assert!(!is_learner(&replicas));
+    replicas.start("control-2");
+    assert!(replicas.run_until(Duration::from_secs(2), is_learner));
+    assert_eq!(replicas.violations, Vec::<String>::new());
+}
