Keep an observer in contact between two heartbeats

What callers saw: nothing for certain. Heartbeats of an observer to entry VMs were not confirmed for up to 0.5 s in each 2 s, so that an entry VM whose first heartbeat fell into that waited for readiness, and one with both feeds from observers took its state for old.

Cause: the leader sends heartbeats to observers every 2 s, and an observer, like a voter, took 1.5 s without one for the loss of its leader.

Fix: an observer waits for 2.5 s, an interval and a margin. It takes no part in elections, so nothing waits for it; what changes is that one that is cut off knows it 1 s later.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -44,6 +44,9 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval of heartbeats to learners, which do not count towards the quorum.
 const LEARNER_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Time without a message of the leader after which a learner counts it as lost: an interval of
+/// heartbeats, and a margin for the way.
+const LEARNER_CONTACT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Leader lease after a confirmed heartbeat: [`ELECTION_TIMEOUT`] less a margin for clock drift.
 const READ_LEASE: Duration = Duration::from_millis(1_200);
 /// Interval after which an unacknowledged snapshot is sent again.
@@ -278,9 +281,9 @@
     }
 
     /// Returns whether this replica is a leader with a valid lease, or a follower that heard from
-    /// its leader within the election timeout.
+    /// its leader lately.
     pub fn is_in_contact(&self, now: Time) -> bool {
-        let heard = self.leader.is_some() && now.since(self.leader_heard) < ELECTION_TIMEOUT;
+        let heard = self.leader.is_some() && now.since(self.leader_heard) < self.contact_timeout();
         if self.is_leader() { self.lease_start(now).is_some() } else { heard && !self.halted }
     }
 
@@ -460,7 +463,13 @@
 
     /// Restarts the election timeout with a different jitter for each replica and attempt.
     fn reset_election_deadline(&mut self, now: Time) {
-        self.election_deadline = now + ELECTION_TIMEOUT + self.election_jitter();
+        self.election_deadline = now + self.contact_timeout() + self.election_jitter();
+    }
+
+    /// Returns the time without a message after which this replica counts its leader as lost.
+    fn contact_timeout(&self) -> Duration {
+        let is_learner = self.members.learners.contains_key(&self.id);
+        if is_learner { LEARNER_CONTACT_TIMEOUT } else { ELECTION_TIMEOUT }
     }
 
     fn election_jitter(&self) -> Duration {
