Report to another control VM when one grants no lease

Cause: only a call that fails made it turn to the next control VM; an answer without a lease did not.

Fix: an answer without a lease makes the next report go to the next control VM. Reports are as frequent as before, so that nothing is asked more often where no control VM grants leases.

Test, red before: control_choice, after 30 s ("58 reports to the one that is cut off").

--- a/src/daemon/control_client.rs
+++ b/src/daemon/control_client.rs
@@ -79,6 +79,8 @@
         let Ok(client) = rpc::client(control[target % control.len()]) else { return };
         match timeout(CALL_TIMEOUT, client.progress(progress)).await {
             Ok(Ok(entries)) => {
+                // A control VM that grants no lease reaches no quorum, while another one may.
+                target += usize::from(entries.lease.is_zero());
                 if replies.send((report, entries)).await.is_err() {
                     return;
                 }
