Tell the other members when a leader has lost its quorum

Entry VMs of control VMs that were cut off together with the leader took their state for confirmed 1.5 s longer than the leader did.

Cause: a leader that loses its quorum after 1.5 s became a follower without a word. The VMs on its side of the cut had heard it until then, and went on counting as in contact for a time-out of their own.

Fix: it sends StepDown, as it does when it stops, to observers, too. Followers forget it at once; on the side with a quorum nobody gets it, or a new leader is elected sooner.

--- a/src/control/replica/change.rs
+++ b/src/control/replica/change.rs
@@ -14,7 +14,7 @@
     pub(super) fn tick_leader(&mut self, now: Time, out: &mut Actions) {
         let Role::Leader(leader) = &mut self.role else { return };
         if !leader.has_quorum(now, self.id, &self.members) {
-            self.become_follower(now, self.hard_state.term, None, out);
+            self.step_down(now, out);
             return;
         }
         let mut due = Vec::new();
--- a/src/control/replica/elect.rs
+++ b/src/control/replica/elect.rs
@@ -129,15 +129,15 @@
         self.send(leader, ReplicaMessage::StepDown { term: self.hard_state.term }, out);
     }
 
-    /// Gives up leadership and tells the voters, so that they elect a new leader without waiting
-    /// for the election timeout.
-    fn step_down(&mut self, now: Time, out: &mut Actions) {
+    /// Gives up leadership and tells the other members, so that those that it reaches do not count as
+    /// in contact with a leader, and voters elect a new one without waiting for the election timeout.
+    pub(super) fn step_down(&mut self, now: Time, out: &mut Actions) {
         if !self.is_leader() {
             return;
         }
         let (me, term) = (self.id, self.hard_state.term);
-        let voters: Vec<_> = self.members.voters.keys().copied().collect();
-        for to in voters.into_iter().filter(|to| *to != me) {
+        let members: Vec<_> = self.members.iter().map(|(member, _)| member).collect();
+        for to in members.into_iter().filter(|to| *to != me) {
             self.send(to, ReplicaMessage::StepDown { term }, out);
         }
         self.become_follower(now, term, None, out);
--- a/src/standin/replicas.rs
+++ b/src/standin/replicas.rs
@@ -58,6 +58,8 @@
     pub duplicate_permille: u32,
     /// VMs that are partitioned from all others.
     pub isolated: BTreeSet<Name>,
+    /// VMs that are partitioned from all others, but not from each other.
+    pub cut_off: BTreeSet<Name>,
     /// Number of messages sent, including lost ones, and their total encoded size in bytes.
     pub sent: (u64, u64),
     /// Results of submissions, by ticket.
@@ -94,6 +96,7 @@
             loss_permille: 0,
             duplicate_permille: 0,
             isolated: BTreeSet::new(),
+            cut_off: BTreeSet::new(),
             sent: (0, 0),
             submit_results: BTreeMap::new(),
             read_results: BTreeMap::new(),
@@ -354,7 +357,13 @@
     fn send_message(&mut self, from: &str, to: SocketAddr, envelope: Envelope) {
         self.sent.0 += 1;
         self.sent.1 += envelope.encode().map_or(0, |text| text.len() as u64);
-        if self.isolated.contains(from) || self.rng.random_range(0..PER_MILLE) < self.loss_permille
+        let receiver = self.vms.values().find(|vm| vm.endpoint.addr == to);
+        let crosses_cut = receiver.is_some_and(|receiver| {
+            self.cut_off.contains(from) != self.cut_off.contains(&receiver.endpoint.name)
+        });
+        if crosses_cut
+            || self.isolated.contains(from)
+            || self.rng.random_range(0..PER_MILLE) < self.loss_permille
         {
             return;
         }
--- a/tests/observer_contact.rs
+++ b/tests/observer_contact.rs
@@ -1,4 +1,4 @@
-//! Whether observers know that they are in contact with the leader.
+//! Whether control VMs know that they are in contact with a leader that has a quorum.
 
 use std::time::Duration;
 
@@ -45,3 +45,21 @@
         assert!(!is_in_contact(&replicas), "seed {seed}");
     }
 }
+
+/// Guards against control VMs on the smaller side of a cut that count as in contact, as the leader is on
+/// their side, for longer than that leader has a quorum.
+#[test]
+fn nobody_stays_in_contact_with_a_leader_that_has_lost_its_quorum() {
+    for seed in 30..40 {
+        let mut replicas = new_cluster(seed);
+        replicas.cut_off.insert(replicas.leader().unwrap());
+        replicas.cut_off.insert("spare-1".into());
+        replicas.run(Duration::from_millis(1_700));
+        for vm in &replicas.cut_off {
+            let node = replicas.node(vm).unwrap();
+            assert!(!node.is_up_to_date(replicas.now()), "seed {seed}: {vm}");
+        }
+        assert!(replicas.run_until(LIMIT, |replicas| replicas.leader().is_some()), "seed {seed}");
+        assert_eq!(replicas.violations, Vec::<String>::new());
+    }
+}
