--- a/src/cookie/feed_targets.rs
+++ b/src/cookie/feed_targets.rs
@@ -12,6 +12,9 @@
 const AVOID_DURATION: Duration = Duration::from_secs(5);
 /// Time for which a control VM that has told that it is up is tried before all others.
 const HINT_DURATION: Duration = Duration::from_secs(2);
+/// Most control VMs asked in one round of a search: all but the two in use on the smaller side of the
+/// largest system.
+const SEARCH_LEN: usize = 8;
 /// Limit on such control VMs at the same time, some more than the largest system has.
 const MAX_HINTS: usize = 32;
 
@@ -67,6 +70,22 @@
         targets
     }
 
+    /// Returns the control VMs to ask in round `round` of a search for a confirmed one: some of those
+    /// that no feed uses, others in each round until all had their turn.
+    pub fn search_candidates(&self, round: u32, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+        let known = self.zones.keys().chain(self.hinted.keys()).chain(seeds).copied();
+        let mut targets: Vec<_> =
+            known.filter(|target| !self.in_use.contains(&Some(*target))).collect();
+        let rank =
+            |target: &SocketAddr| (hash(format!("{} {target}", self.name).as_bytes()), *target);
+        targets.sort_by_cached_key(rank);
+        targets.dedup();
+        let start = (round as usize * SEARCH_LEN).checked_rem(targets.len()).unwrap_or_default();
+        targets.rotate_left(start);
+        targets.truncate(SEARCH_LEN);
+        targets
+    }
+
     /// Assigns a control VM to feed `slot`; returns whether it was free.
     pub fn claim(&mut self, slot: usize, target: SocketAddr) -> bool {
         let free = self.in_use[1 - slot] != Some(target);
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -22,8 +22,8 @@
 };
 use crate::{
     cookie::{
-        FeedMessage, FeedTargets, FlowReset, Forwarder, HeldPackets, LoadReporter, PacketInfo,
-        PrimaryFeed, Resource, ShortChange,
+        FeedMessage, FeedSearch, FeedTargets, FlowReset, Forwarder, HeldPackets, LoadReporter,
+        PacketInfo, PrimaryFeed, Resource, ShortChange,
     },
     counter::{Counter, Counters},
     error::{Error, Result},
@@ -149,6 +149,7 @@
         hint: hint.clone(),
         started_at,
         primary: watch::Sender::new(PrimaryFeed::new(Time::ZERO)),
+        search: watch::Sender::new(FeedSearch::new(Time::ZERO, settings.name.clone())),
     };
     tokio::spawn(feeds.clone().run(0));
     tokio::spawn(feeds.run(1));
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -33,6 +33,8 @@
 const SAVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of heartbeats to entry VMs.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Shortest interval of heartbeats, when what they say of the quorum changes.
+const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time-out for another VM to confirm that a server drains or has left; the server expects a reply
 /// within a second.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
@@ -82,7 +84,9 @@
     save_due: Time,
     /// Whether the plan or a record has changed since it was last saved.
     pub(super) unsaved: bool,
-    heartbeat_due: Time,
+    heartbeat_sent: Time,
+    /// Whether the last heartbeat said that a quorum confirms the state of this VM.
+    heartbeat_confirmed: bool,
     /// Notified once this VM may end, if it is shutting down.
     stopped: Option<oneshot::Sender<()>>,
     started_at: Instant,
@@ -121,7 +125,8 @@
             entry_gossip_due: Time::ZERO,
             save_due: Time::ZERO + SAVE_INTERVAL,
             unsaved: false,
-            heartbeat_due: Time::ZERO,
+            heartbeat_sent: Time::ZERO,
+            heartbeat_confirmed: false,
             stopped: None,
             started_at: Instant::now(),
         }
@@ -354,11 +359,24 @@
         }
         self.send_summaries(now);
         self.save_feed(now);
-        if now >= self.heartbeat_due {
-            self.heartbeat_due = now + HEARTBEAT_INTERVAL;
-            let heartbeat = self.heartbeat();
-            self.publisher.send(&heartbeat, None);
+        self.send_heartbeat(now);
+    }
+
+    /// Sends a heartbeat to entry VMs, sooner if a quorum does not confirm the state of this VM any
+    /// more, or confirms it again.
+    fn send_heartbeat(&mut self, now: Time) {
+        let confirmed = self.node.is_up_to_date(now);
+        let is_news = confirmed != self.heartbeat_confirmed;
+        let interval = if is_news { MIN_HEARTBEAT_INTERVAL } else { HEARTBEAT_INTERVAL };
+        if now.since(self.heartbeat_sent) < interval {
+            return;
+        }
+        if is_news {
+            log::info!("event=confirmed value={confirmed}");
         }
+        (self.heartbeat_sent, self.heartbeat_confirmed) = (now, confirmed);
+        let heartbeat = self.heartbeat();
+        self.publisher.send(&heartbeat, None);
     }
 
     /// Saves the plan and the server records if they have changed.
--- a/src/daemon/subscribe.rs
+++ b/src/daemon/subscribe.rs
@@ -1,8 +1,8 @@
 //! The two feeds of an entry VM, from different control VMs; the first prefers a control VM in the
-//! VM's own availability zone.
+//! VM's own availability zone, the second leaves for one with a quorum if neither has one.
 
 use std::{
-    io,
+    future, io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -17,10 +17,11 @@
 
 use super::{
     clock::now,
+    feed_snapshot::fetch_confirmation,
     link::{self, Ack, Hello},
 };
 use crate::{
-    cookie::{ControlLocation, FeedMessage, FeedTargets, LoadReporter, PrimaryFeed},
+    cookie::{ControlLocation, FeedMessage, FeedSearch, FeedTargets, LoadReporter, PrimaryFeed},
     name::Name,
     time::Time,
 };
@@ -41,6 +42,9 @@
 /// Rounds with [`SHORT_TIMEOUT`]: some two seconds, in which most outages of all VMs end.
 const SHORT_ROUNDS: u32 = 16;
 
+/// Delay between the starts of two questions of a search: longer than most answers take.
+const SEARCH_STAGGER: Duration = Duration::from_millis(50);
+
 /// Time for which feed 1 waits for feed 0 to receive all records: a few hundred servers take 100 ms on
 /// a link of 2 Mbit/s.
 const PRIMARY_TIMEOUT: Duration = Duration::from_millis(600);
@@ -71,12 +75,18 @@
     pub(super) started_at: Instant,
     /// State of feed 0, by which feed 1 decides whether it needs all records.
     pub(super) primary: watch::Sender<PrimaryFeed>,
+    /// Decides when feed 1 looks for a control VM with a quorum.
+    pub(super) search: watch::Sender<FeedSearch>,
 }
 
 /// A connection to the control VM of a feed.
 struct Connection {
     target: SocketAddr,
     stream: TcpStream,
+    /// Whether the feed requests the records of all servers.
+    records: bool,
+    /// Why the control VM is preferred to the one before it, for the log.
+    merit: &'static str,
 }
 
 impl FeedClient {
@@ -89,15 +99,19 @@
             let mut connection = self.connect(slot).await;
             loop {
                 let target = connection.target;
-                let result = self.read_feed(slot, connection).await;
+                let result = tokio::select! {
+                    result = self.read_feed(slot, connection) => result,
+                    found = self.find_confirmed(slot) => Ok(found),
+                };
                 let reason = match &result {
-                    Ok(next) => format!("control VM {} is nearer", next.target),
+                    Ok(next) => format!("control VM {} {}", next.target, next.merit),
                     Err(err) => err.to_string(),
                 };
                 log::info!("event=feed_lost control={target} slot={slot} reason={reason:?}");
                 if slot == 0 {
                     self.update_primary(|primary, now| primary.record_lost(now));
                 }
+                self.update_search(|search, now| search.record_lost(now, slot));
                 _ = self.events.send(FeedEvent::Lost(target)).await;
                 match result {
                     Ok(next) => connection = next,
@@ -121,6 +135,15 @@
         self.primary.send_modify(|primary| update(primary, now));
     }
 
+    fn update_search(&self, update: impl FnOnce(&mut FeedSearch, Time)) {
+        let now = self.now();
+        self.search.send_if_modified(|search| {
+            let due = search.due();
+            update(search, now);
+            search.due() != due
+        });
+    }
+
     /// Connects feed `slot` to a control VM, in rounds until one accepts.
     async fn connect(&self, slot: usize) -> Connection {
         let mut round = 0_u32;
@@ -148,23 +171,78 @@
             attempts.spawn(async move {
                 sleep(STAGGER * place).await;
                 let stream = link::connect(target, wait).await?;
-                io::Result::Ok(Connection { target, stream })
+                io::Result::Ok((target, stream))
             });
         }
         while let Some(attempt) = attempts.join_next().await {
-            let Ok(Ok(connection)) = attempt else { continue };
-            if self.targets().claim(slot, connection.target) {
-                return Some(connection);
+            let Ok(Ok((target, stream))) = attempt else { continue };
+            if self.targets().claim(slot, target) {
+                let records = slot == 0 || self.primary.borrow().is_behind(self.now());
+                return Some(Connection { target, stream, records, merit: "is up" });
+            }
+        }
+        None
+    }
+
+    /// Connects feed `slot` to a control VM that a quorum confirms, once neither feed comes from one.
+    /// Feed 0 stays at the control VM of its availability zone.
+    async fn find_confirmed(&self, slot: usize) -> Connection {
+        if slot == 0 {
+            return future::pending().await;
+        }
+        let mut search = self.search.subscribe();
+        loop {
+            let due = search.borrow_and_update().due();
+            let wait = due.map(|due| due.since(self.now()));
+            tokio::select! {
+                // Does not fail: `self` holds the sender.
+                _ = search.changed() => continue,
+                () = sleep(wait.unwrap_or_default()), if wait.is_some() => {}
+            }
+            let round = search.borrow().rounds();
+            let found = self.ask_for_quorum(round).await;
+            // Also after a success: the next round waits for what the new control VM says.
+            self.update_search(FeedSearch::record_round);
+            if let Some(target) = found
+                && let Ok(stream) = link::connect(target, link::CONNECT_TIMEOUT).await
+                && search.borrow().due().is_some()
+                && self.targets().claim(slot, target)
+            {
+                // What changed during the cut was sent to others only.
+                return Connection { target, stream, records: true, merit: "has a quorum" };
+            }
+        }
+    }
+
+    /// Asks control VMs that no feed uses, one [`SEARCH_STAGGER`] after the other; returns the first that
+    /// a quorum confirms.
+    async fn ask_for_quorum(&self, round: u32) -> Option<SocketAddr> {
+        let seeds = self.seeds.borrow().clone();
+        let candidates = self.targets().search_candidates(round, &seeds);
+        let mut questions = JoinSet::new();
+        for (target, place) in candidates.into_iter().zip(0..) {
+            let (name, zone) = (self.name.clone(), self.zone.clone());
+            questions.spawn(async move {
+                sleep(SEARCH_STAGGER * place).await;
+                let answer = timeout(FIRST_TIMEOUT, fetch_confirmation(target, name, zone)).await;
+                matches!(answer, Ok(Ok(true))).then_some(target)
+            });
+        }
+        let mut asked = 0;
+        while let Some(answer) = questions.join_next().await {
+            asked += 1;
+            if let Ok(Some(target)) = answer {
+                return Some(target);
             }
         }
+        log::info!("event=no_quorum round={round} asked={asked}");
         None
     }
 
     /// Reads a feed until it fails, or until a connection to a nearer control VM stands.
     async fn read_feed(&self, slot: usize, connection: Connection) -> io::Result<Connection> {
-        let Connection { target, mut stream } = connection;
+        let Connection { target, mut stream, records, .. } = connection;
         let index = *self.index.borrow();
-        let records = slot == 0 || self.primary.borrow().is_behind(self.now());
         if slot == 0 {
             self.update_primary(|primary, now| primary.record_connected(now));
         }
@@ -190,12 +268,14 @@
                 return Ok(nearer);
             }
             if let FeedMessage::Heartbeat { confirmed, .. } = message {
+                self.update_search(|search, now| search.record_heartbeat(now, slot, confirmed));
                 if slot == 0 {
                     self.update_primary(|primary, now| primary.record_heartbeat(now, confirmed));
                 } else if confirmed && !records && self.primary.borrow().is_behind(self.now()) {
                     log::info!("event=records_requested control={target}");
                     let stream = link::connect(target, SHORT_TIMEOUT).await?;
-                    return Ok(Connection { target, stream });
+                    let merit = "is asked for all records";
+                    return Ok(Connection { target, stream, records: true, merit });
                 }
             }
             self.events
@@ -243,7 +323,9 @@
         };
         let target = self.learn_targets(slot, control_vms)?;
         match link::connect(target, SHORT_TIMEOUT).await {
-            Ok(stream) if self.targets().claim(slot, target) => Some(Connection { target, stream }),
+            Ok(stream) if self.targets().claim(slot, target) => {
+                Some(Connection { target, stream, records: true, merit: "is nearer" })
+            }
             Ok(_) => None,
             Err(err) => {
                 log::info!("event=nearer_refused control={target} reason={:?}", err.to_string());
