Do not leave a feed that has yet to send a heartbeat

The first heartbeat follows all records and the plan, so that on a slow link a feed could be left 0.5 s after it had connected, and the transfer begin anew at the next control VM, some times until the rounds became rare. Found by reading, before it reached anybody.

Only a control VM that has said that it is not confirmed is left now; a move counts as a round, so that a second one comes later. A round asks four control VMs instead of eight, for the sake of elections, in which nobody is confirmed; two rounds ask more than the smaller side of 17 has.

--- a/src/cookie/feed_targets.rs
+++ b/src/cookie/feed_targets.rs
@@ -12,9 +12,9 @@
 const AVOID_DURATION: Duration = Duration::from_secs(5);
 /// Time for which a control VM that has told that it is up is tried before all others.
 const HINT_DURATION: Duration = Duration::from_secs(2);
-/// Most control VMs asked in one round of a search: all but the two in use on the smaller side of the
-/// largest system.
-const SEARCH_LEN: usize = 8;
+/// Most control VMs asked in one round of a search: two rounds ask more than the smaller side of the
+/// largest system has.
+const SEARCH_LEN: usize = 4;
 /// Limit on such control VMs at the same time, some more than the largest system has.
 const MAX_HINTS: usize = 32;
 
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -149,7 +149,7 @@
         hint: hint.clone(),
         started_at,
         primary: watch::Sender::new(PrimaryFeed::new(Time::ZERO)),
-        search: watch::Sender::new(FeedSearch::new(Time::ZERO, settings.name.clone())),
+        search: watch::Sender::new(FeedSearch::new(settings.name.clone())),
     };
     tokio::spawn(feeds.clone().run(0));
     tokio::spawn(feeds.run(1));
--- a/src/daemon/subscribe.rs
+++ b/src/daemon/subscribe.rs
@@ -85,7 +85,7 @@
     stream: TcpStream,
     /// Whether the feed requests the records of all servers.
     records: bool,
-    /// Why the control VM is preferred to the one before it, for the log.
+    /// What made the feed turn to the control VM, for the log.
     merit: &'static str,
 }
 
@@ -201,7 +201,7 @@
             }
             let round = search.borrow().rounds();
             let found = self.ask_for_quorum(round).await;
-            // Also after a success: the next round waits for what the new control VM says.
+            // Also after a success: a feed that moves often does so ever less.
             self.update_search(FeedSearch::record_round);
             if let Some(target) = found
                 && let Ok(stream) = link::connect(target, link::CONNECT_TIMEOUT).await
