--- /dev/null
+++ b/review/standin-3/main.rs
@@ -0,0 +1,48 @@
+//! Cases of the third review: starts the programs of the deploy file with stand-ins for the
+//! operator, servers and clients, and judges what these see.
+
+mod case_first;
+mod case_removed;
+mod cluster;
+mod http;
+mod operator;
+mod record;
+
+use std::{path::Path, process::ExitCode};
+
+pub enum Outcome {
+    Held,
+    Broken(String),
+    NotRun(String),
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &args[..] else {
+        eprintln!("usage: review-3 CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").is_ok_and(|value| value == "0");
+    let trouble = !trouble;
+    let record = record::Record::create(&Path::new(folder).join("record.txt"));
+    record.line(format!("case {case}, trouble: {trouble}"));
+    let outcome = match case.as_str() {
+        "first" => case_first::run(record.clone(), trouble),
+        "removed" => case_removed::run(record.clone(), trouble),
+        _ => Outcome::NotRun(format!("there is no case {case}")),
+    };
+    match outcome {
+        Outcome::Held => {
+            record.line("the rule held");
+            ExitCode::SUCCESS
+        }
+        Outcome::Broken(what) => {
+            record.line(format!("the rule was broken: {what}"));
+            ExitCode::from(1)
+        }
+        Outcome::NotRun(why) => {
+            record.line(format!("the case could not run: {why}"));
+            ExitCode::from(2)
+        }
+    }
+}
