Add review case 12: a control daemon with stale seeds never joins the log

Cause: control daemons never read their settings again, and one without a log probes only the seeds of its start.

--- a/review/standin-3/case_first.rs
+++ b/review/standin-3/case_first.rs
@@ -5,11 +5,18 @@
 
 use crate::{
     Outcome,
-    cluster::{ACK_TIMEOUT, CONTACT, Class, Cluster, ZONES},
+    cluster::{CONTACT, Class, Cluster, ZONES},
     operator::{Fate, Operator, config, version},
     record::Record,
 };
 
+/// Time from the start of the machines to the kill.
+const KILL_AFTER: Duration = Duration::from_millis(200);
+/// Delay after which a process that was killed is started again.
+const DOWN: Duration = Duration::from_millis(500);
+/// Time for which the operator sends the first configuration: six times `ackTimeoutMs`.
+const ORDER_TIME: Duration = Duration::from_secs(30);
+
 pub fn run(record: Record, trouble: bool) -> Outcome {
     let mut cluster = Cluster::new(record.clone());
     for (zone, host) in ZONES.iter().zip(10..) {
@@ -26,23 +33,24 @@
     }
     cluster.say("4 core and 4 edge machines started for the first time");
     if trouble {
-        sleep(Duration::from_millis(200));
-        let machine = &mut cluster.machines[core[0]];
-        machine.kill();
-        let name = machine.name.clone();
+        sleep(KILL_AFTER);
+        let first = core[0];
+        cluster.machines[first].kill();
+        let name = cluster.machines[first].name.clone();
         cluster.say(format!("{name} is killed"));
-        sleep(Duration::from_millis(500));
-        let bootstrap = std::env::var("BOOT").is_ok();
-        cluster.machines[core[0]].write_settings(&seeds, bootstrap);
-        cluster.machines[core[0]].start();
-        cluster.say(format!("{name} is back, its disk as it was"));
+        sleep(DOWN);
+        // The whole system does not start any more, and the disk is not empty.
+        cluster.machines[first].write_settings(&seeds, false);
+        cluster.machines[first].start();
+        cluster.say(format!("{name} is started again, its disk as it was"));
     }
     let mut operator = Operator::new(controls, record.clone());
-    let order = operator.order("/api/config/replace", &config(3), Duration::from_secs(60));
+    let order = operator.order("/api/config/replace", &config(3), ORDER_TIME);
     let read = operator.read(CONTACT);
-    _ = ACK_TIMEOUT;
+    let ready = cluster.machines.iter().filter(|machine| machine.is_ready()).count();
+    cluster.say(format!("edge machines that are ready: {ready}"));
     match read.as_deref().map(version) {
         Some(Some(3)) if order == Fate::Acknowledged => Outcome::Held,
-        other => Outcome::Broken(format!("the first configuration: {order:?}, read {other:?}")),
+        read => Outcome::Broken(format!("the first configuration: {order:?}, read back: {read:?}")),
     }
 }
--- a/review/standin-3/case_removed.rs
+++ b/review/standin-3/case_removed.rs
@@ -78,6 +78,11 @@
             .map(|at| cluster.machines[at].control())
             .collect();
     }
+    judge(&mut cluster, &mut operator)
+}
+
+/// Sends one more configuration and reads it back, `recoveryS` after all machines are back.
+pub fn judge(cluster: &mut Cluster, operator: &mut Operator) -> Outcome {
     sleep(RECOVERY);
     cluster.say("recoveryS has passed since all machines are back");
     let order = operator.order("/api/config/replace", &config(20), ACK_TIMEOUT * 4);
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,6 +3,7 @@
 
 mod case_first;
 mod case_removed;
+mod case_seeds;
 mod cluster;
 mod http;
 mod operator;
@@ -28,6 +29,7 @@
     record.line(format!("case {case}, trouble: {trouble}"));
     let outcome = match case.as_str() {
         "first" => case_first::run(record.clone(), trouble),
+        "seeds" => case_seeds::run(record.clone(), trouble),
         "removed" => case_removed::run(record.clone(), trouble),
         _ => Outcome::NotRun(format!("there is no case {case}")),
     };
