--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,6 +4,7 @@
 mod case_first;
 mod case_removed;
 mod case_seeds;
+mod case_unread;
 mod cluster;
 mod http;
 mod operator;
@@ -30,6 +31,7 @@
     let outcome = match case.as_str() {
         "first" => case_first::run(record.clone(), trouble),
         "seeds" => case_seeds::run(record.clone(), trouble),
+        "unread" => case_unread::run(record.clone(), trouble),
         "removed" => case_removed::run(record.clone(), trouble),
         _ => Outcome::NotRun(format!("there is no case {case}")),
     };
