--- a/review/standin-3/case_seeds.rs
+++ b/review/standin-3/case_seeds.rs
@@ -45,37 +45,41 @@
         }
     }
     sleep(CONTACT + Duration::from_secs(1));
-    if trouble {
-        // The new machines come first.
-        let mut successors = Vec::new();
-        for (place, host) in [(0, 30), (1, 31)] {
-            let zone = cluster.machines[core[place]].zone;
-            let successor = cluster.add(Class::Core, zone, host);
-            cluster.machines[successor].write_settings(&first_seeds, false);
-            cluster.machines[successor].start();
-            successors.push(successor);
-        }
-        sleep(CATCH_UP + CONTACT + MARGIN);
-        for (place, successor) in successors.into_iter().enumerate() {
-            let old = std::mem::replace(&mut core[place], successor);
-            cluster.machines[old].signal(SIGTERM);
-            let until = Instant::now() + GRACE;
-            while cluster.machines[old].ended().is_none() && Instant::now() < until {
-                sleep(Duration::from_millis(20));
-            }
-            cluster.machines[old].kill();
-            let names = (&cluster.machines[old].name, &cluster.machines[successor].name);
-            cluster.say(format!("{} has ended after SIGTERM; {} is in its place", names.0, names.1));
+    // The new machines come first.
+    let mut successors = Vec::new();
+    for (place, host) in [(0, 30), (1, 31)] {
+        let zone = cluster.machines[core[place]].zone;
+        let successor = cluster.add(Class::Core, zone, host);
+        cluster.machines[successor].write_settings(&first_seeds, false);
+        cluster.machines[successor].start();
+        successors.push(successor);
+    }
+    sleep(CATCH_UP + CONTACT + MARGIN);
+    for (place, successor) in successors.into_iter().enumerate() {
+        let old = std::mem::replace(&mut core[place], successor);
+        cluster.machines[old].signal(SIGTERM);
+        let until = Instant::now() + GRACE;
+        while cluster.machines[old].ended().is_none() && Instant::now() < until {
+            sleep(Duration::from_millis(20));
         }
-        operator.daemons = controls(&cluster, &core);
-        // The list from which the file is written lags: it names the machines of 3 s before.
+        cluster.machines[old].kill();
+        let names = (&cluster.machines[old].name, &cluster.machines[successor].name);
+        cluster.say(format!("{} has ended after SIGTERM; {} is in its place", names.0, names.1));
+    }
+    operator.daemons = controls(&cluster, &core);
+    // The list from which the file is written lags: it names the machines of 3 s before.
+    if trouble {
         lose_disk(&mut cluster, core[2], &first_seeds);
-        sleep(SEED_LAG - DOWN);
-        let seeds = controls(&cluster, &core);
-        cluster.machines[core[2]].write_settings(&seeds, false);
-        cluster.machines[core[2]].signal(SIGHUP);
-        cluster.say("its settings file names the present machines now; SIGHUP is sent");
-        sleep(CATCH_UP + CONTACT);
+    } else {
+        sleep(DOWN);
+    }
+    sleep(SEED_LAG - DOWN);
+    let seeds = controls(&cluster, &core);
+    cluster.machines[core[2]].write_settings(&seeds, false);
+    cluster.machines[core[2]].signal(SIGHUP);
+    cluster.say("its settings file names the present machines now; SIGHUP is sent");
+    sleep(CATCH_UP + CONTACT);
+    if trouble {
         lose_disk(&mut cluster, core[0], &seeds);
     }
     judge(&mut cluster, &mut operator)
