Add review case 13: an entry VM that wakes up forwards old openings

Cause: after SIGCONT the wait for events of an entry VM ends with EINTR, and its tick comes first. `try_recv_from` then answers WouldBlock without a look at the socket, so that `receive_packets` takes the socket for empty and the openings that waited for fresh. Their copies have opened the flows through another VM by then; the SYN+ACK of a second server changes the echo of idle flows, whose next packets go to that server.

--- a/review/standin-3/cluster.rs
+++ b/review/standin-3/cluster.rs
@@ -11,6 +11,7 @@
 use crate::{http, record::Record};
 
 pub const ZONES: [&str; 4] = ["sofia-a", "sofia-b", "plovdiv", "varna"];
+pub const VESTLAND: [&str; 4] = ["vestland-a", "vestland-b", "vestland-c", "vestland-d"];
 pub const DATAGRAM_PORT: u16 = 8172;
 pub const READY_PORT: u16 = 8167;
 pub const CONTROL_PORT: u16 = 8166;
@@ -86,10 +87,14 @@
             Class::Edge => String::new(),
             Class::Core => format!("dataDir = {:?}\n", self.data_path()),
         };
-        let zones: String = ZONES.iter().map(|zone| format!("{zone} = \"bg-south\"\n")).collect();
+        let (region, zones) = match VESTLAND.contains(&self.zone) {
+            true => ("vestland", VESTLAND),
+            false => ("bg-south", ZONES),
+        };
+        let zones: String = zones.iter().map(|zone| format!("{zone} = \"{region}\"\n")).collect();
         let text = format!(
             "nodeName = \"{}\"\nrole = \"{class}\"\nmachineClass = \"{class}\"\n\
-             serves = [\"{serves}\"]\nip = \"{}\"\nzone = \"{}\"\nregion = \"bg-south\"\n\
+             serves = [\"{serves}\"]\nip = \"{}\"\nzone = \"{}\"\nregion = \"{region}\"\n\
              internalPortRange = [7720,7735]\nseeds = [{}]\nbootstrap = {bootstrap}\n\
              countsTowardTolerance = {}\n{data}discovery = \"registry\"\n\
              entry = \"announcement\"\nheartbeatMs = {}\n\
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,11 +3,14 @@
 
 mod case_removed;
 mod case_seeds;
+mod case_thawed;
 mod case_unread;
 mod cluster;
+mod flows;
 mod http;
 mod operator;
 mod record;
+mod router;
 
 use std::{path::Path, process::ExitCode};
 
@@ -30,6 +33,7 @@
     let outcome = match case.as_str() {
         "seeds" => case_seeds::run(record.clone(), trouble),
         "unread" => case_unread::run(record.clone(), trouble),
+        "thawed" => case_thawed::run(record.clone(), trouble),
         "removed" => case_removed::run(record.clone(), trouble),
         _ => Outcome::NotRun(format!("there is no case {case}")),
     };
