--- a/review/standin-3/router.rs
+++ b/review/standin-3/router.rs
@@ -7,7 +7,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread::{JoinHandle, sleep, spawn},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{http, record::Record};
@@ -42,6 +42,7 @@
             threads.push(spawn(move || {
                 let mut misses = 0;
                 while !stop.load(Ordering::Relaxed) {
+                    let next = Instant::now() + PROBE_INTERVAL;
                     let answer = http::call(target.ready, "GET", "/api/ready", "", PROBE_INTERVAL);
                     let ready = answer.is_some_and(|(status, _)| status == 200);
                     misses = if ready { 0 } else { misses + 1 };
@@ -51,9 +52,7 @@
                         let how = if is_in { "back in" } else { "out of" };
                         record.line(format!("router: {} is {how} rotation", target.name));
                     }
-                    if ready {
-                        sleep(PROBE_INTERVAL);
-                    }
+                    sleep(next.saturating_duration_since(Instant::now()));
                 }
             }));
         }
