Ask for votes again soon after a split vote

Cause: the followers of the lost leader asked for votes at the same time and refused each other; then each waited for a whole election timeout.

Fix: a refusal from a voter of the same term says that there is another candidate. If neither wins within as long again as the vote took, the candidate asks again, with a jitter of eight times that time, 0.4 to 1 s. A slow disk widens it; a log that is behind fails in the pre-vote as before.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -40,6 +40,11 @@
 /// Divisor of the election jitter after the leader stepped down. The remaining range covers a few
 /// round trips, so that two replicas seldom start an election at the same time.
 const STEP_DOWN_JITTER_DIVISOR: u32 = 5;
+/// Shortest range of the jitter after a split vote: some ticks of the daemon.
+const MIN_RETRY_JITTER: Duration = Duration::from_millis(400);
+/// Range of the jitter after a split vote as a multiple of the time that the vote took, so that a
+/// second split is unlikely whatever the disks and the network take.
+const RETRY_JITTER_FACTOR: u32 = 8;
 /// Interval of heartbeats to voters.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval of heartbeats to learners, which do not count towards the quorum.
@@ -67,6 +72,8 @@
         pre_vote: bool,
         /// Voters that granted their vote.
         granted: BTreeSet<ReplicaId>,
+        /// Time of the first request.
+        asked_at: Time,
     },
     /// Replicates its log to the other replicas.
     Leader(LeaderState),
--- a/src/control/replica/elect.rs
+++ b/src/control/replica/elect.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 
 use super::{
-    Actions, ELECTION_TIMEOUT, Replica, Role, STEP_DOWN_JITTER_DIVISOR, STOP_INTERVAL,
+    Actions, ELECTION_JITTER, ELECTION_TIMEOUT, MIN_RETRY_JITTER, RETRY_JITTER_FACTOR, Replica,
+    Role, STEP_DOWN_JITTER_DIVISOR, STOP_INTERVAL,
     lead::LeaderState,
     message::{Entry, HardState, LogId, Payload, ReplicaId, ReplicaMessage},
 };
@@ -19,7 +20,7 @@
         if !self.members.voters.contains_key(&self.id) {
             return;
         }
-        self.role = Role::Candidate { pre_vote: true, granted: BTreeSet::new() };
+        self.role = new_candidate(now, true);
         self.request_votes(self.hard_state.term.saturating_add(1), true, out);
         self.record_vote(now, self.id, out);
     }
@@ -28,7 +29,7 @@
         let term = self.hard_state.term.saturating_add(1);
         self.reset_election_deadline(now);
         self.match_index = 0;
-        self.role = Role::Candidate { pre_vote: false, granted: BTreeSet::new() };
+        self.role = new_candidate(now, false);
         self.set_hard_state(HardState { term, vote: Some(self.id) }, out);
         // The candidate's own vote counts once it is synced.
         self.request_votes(term, false, out);
@@ -92,11 +93,15 @@
         if granted && waiting && term == expected_term {
             self.record_vote(now, from, out);
         }
+        // The voter has the term of the election, so that it voted for another candidate.
+        if !granted && !pre_vote && term == self.hard_state.term {
+            self.record_split(now);
+        }
     }
 
     /// Records a vote. With a quorum, a pre-vote becomes an election and an election is won.
     pub(super) fn record_vote(&mut self, now: Time, from: ReplicaId, out: &mut Actions) {
-        let Role::Candidate { pre_vote, granted } = &mut self.role else { return };
+        let Role::Candidate { pre_vote, granted, .. } = &mut self.role else { return };
         granted.insert(from);
         let votes = granted.iter().filter(|voter| self.members.voters.contains_key(voter)).count();
         if votes < self.members.quorum() {
@@ -105,6 +110,17 @@
         if *pre_vote { self.start_election(now, out) } else { self.become_leader(now, out) }
     }
 
+    /// Shortens the election timeout as there is another candidate: if neither wins within the time
+    /// that a vote takes, there is nothing left to wait for.
+    fn record_split(&mut self, now: Time) {
+        let Role::Candidate { pre_vote: false, asked_at, .. } = self.role else { return };
+        let took = now.since(asked_at);
+        let range = (took * RETRY_JITTER_FACTOR).clamp(MIN_RETRY_JITTER, ELECTION_JITTER);
+        let share = range.as_micros() as f64 / ELECTION_JITTER.as_micros() as f64;
+        let retry = now + took + self.election_jitter().mul_f64(share);
+        self.election_deadline = self.election_deadline.min(retry);
+    }
+
     /// Prepares for the end of the process: gives up leadership and asks the leader to let another
     /// replica take its place as a voter. It starts no election from now on.
     ///
@@ -166,3 +182,7 @@
         self.broadcast(now, out);
     }
 }
+
+fn new_candidate(now: Time, pre_vote: bool) -> Role {
+    Role::Candidate { pre_vote, granted: BTreeSet::new(), asked_at: now }
+}
