Read the settings again in control VMs, and ask those that gossip for the log

Callers saw: a control VM lost its disk and started with seeds that were gone.

Cause: SIGHUP was taken and dropped, and the settings were those of the start. Only seeds and members of the own log were asked for a log, not the control VMs whose gossip arrived all the time.

Evidence: on the untouched code a control VM with an empty disk and seeds that are gone logs its start and nothing more for 60 s.

A control VM that looks for the log also asks those that it hears. Who forms a new log stays as at the start, so that there are never two.

--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,11 @@
 //! Control node: replicates configuration changes through a Raft log. It performs no I/O and reads
 //! no clock; the caller passes in events and the current time and executes the returned actions.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use crate::{
     counter::{Counter, Counters},
@@ -165,6 +169,17 @@
         self
     }
 
+    /// Replaces the control VMs to contact first. A log that is yet to be formed is formed by those of
+    /// the start.
+    pub fn set_seeds(&mut self, seeds: BTreeSet<SocketAddr>) {
+        self.bootstrap.set_seeds(seeds);
+    }
+
+    /// Changes the desired number of voters.
+    pub fn set_voter_count(&mut self, count: usize) {
+        self.replica.set_voter_count(count);
+    }
+
     /// Returns the Raft replica.
     pub fn replica(&self) -> &Replica {
         &self.replica
@@ -327,8 +342,10 @@
         if self.replica.is_halted() || (member && followed) {
             return;
         }
-        let members = self.replica.members().iter().map(|(_, endpoint)| endpoint.addr).collect();
-        for to in self.bootstrap.probe_targets(now, &self.endpoint, members) {
+        let members = self.replica.members().iter().map(|(_, endpoint)| endpoint.addr);
+        // Control VMs that reach this one may know the log, whatever the settings say.
+        let others = members.chain(self.replica.heard_lately(now)).collect();
+        for to in self.bootstrap.probe_targets(now, &self.endpoint, others) {
             let envelope = self.envelope(None, ControlMessage::Probe);
             out.push(ControlAction::Send { to, envelope });
         }
--- a/src/control/formation.rs
+++ b/src/control/formation.rs
@@ -24,8 +24,10 @@
 /// Bootstrap state of a replica without a log.
 #[derive(Debug, Clone)]
 pub(crate) struct Bootstrap {
-    /// The configured voters.
+    /// The voters that form the log together, fixed at the start.
     voters: BTreeMap<Name, SocketAddr>,
+    /// Control VMs to probe, which may change.
+    seeds: BTreeSet<SocketAddr>,
     candidates: BTreeMap<Name, (Time, ReplicaId, ControlEndpoint)>,
     log_exists: bool,
     next_probe: Time,
@@ -33,7 +35,19 @@
 
 impl Bootstrap {
     pub(crate) fn new(voters: BTreeMap<Name, SocketAddr>) -> Bootstrap {
-        Bootstrap { voters, candidates: BTreeMap::new(), log_exists: false, next_probe: Time::ZERO }
+        Bootstrap {
+            seeds: voters.values().copied().collect(),
+            voters,
+            candidates: BTreeMap::new(),
+            log_exists: false,
+            next_probe: Time::ZERO,
+        }
+    }
+
+    /// Replaces the control VMs to probe. Those that form the log stay: with others it could become
+    /// a second one.
+    pub(crate) fn set_seeds(&mut self, seeds: BTreeSet<SocketAddr>) {
+        self.seeds = seeds;
     }
 
     /// Forbids this replica to bootstrap a cluster.
@@ -47,18 +61,20 @@
         self.voters.keys().cloned().collect()
     }
 
-    /// Returns the addresses to probe now: the configured voters and the addresses in `members`.
+    /// Returns the addresses to probe now: the seeds, the configured voters and the addresses in
+    /// `others`.
     pub(crate) fn probe_targets(
         &mut self,
         now: Time,
         me: &ControlEndpoint,
-        members: BTreeSet<SocketAddr>,
+        others: BTreeSet<SocketAddr>,
     ) -> Vec<SocketAddr> {
         if now < self.next_probe {
             return Vec::new();
         }
         self.next_probe = now + PROBE_INTERVAL;
-        let mut targets = members;
+        let mut targets = others;
+        targets.extend(&self.seeds);
         targets.extend(self.voters.values());
         targets.remove(&me.addr);
         targets.into_iter().collect()
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -203,10 +203,15 @@
     /// Sets the desired number of voters, which may be any control VMs.
     #[must_use]
     pub fn with_voter_count(mut self, count: usize) -> Replica {
-        self.voter_count = count;
+        self.set_voter_count(count);
         self
     }
 
+    /// Changes the desired number of voters.
+    pub fn set_voter_count(&mut self, count: usize) {
+        self.voter_count = count;
+    }
+
     /// Takes over what `earlier`, of the same process, has seen of other replicas.
     #[must_use]
     pub fn with_sightings(mut self, earlier: &Replica) -> Replica {
@@ -224,6 +229,11 @@
         }
     }
 
+    /// Returns the addresses of the control VMs that were heard lately.
+    pub(crate) fn heard_lately(&self, now: Time) -> impl Iterator<Item = SocketAddr> {
+        self.sightings.recent_vms(now)
+    }
+
     /// Returns the desired number of voters, or 0 if only configured control VMs become voters.
     pub fn voter_count(&self) -> usize {
         self.voter_count
--- a/src/control/replica/sightings.rs
+++ b/src/control/replica/sightings.rs
@@ -1,12 +1,14 @@
 //! What a replica has seen of the others itself, whoever leads.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use super::message::{ControlEndpoint, Members, ReplicaId};
 use crate::time::Time;
 
+/// Time for which a control VM that was heard is worth a question.
+const RECENT: Duration = Duration::from_secs(6);
 /// Maximum number of control VMs that are remembered.
 const MAX_VMS: usize = 64;
 
@@ -36,6 +38,12 @@
         self.vms.insert(addr, now);
     }
 
+    /// Returns the control VMs that were heard within [`RECENT`].
+    pub(crate) fn recent_vms(&self, now: Time) -> impl Iterator<Item = SocketAddr> {
+        let recent = self.vms.iter().filter(move |(_, at)| now.since(**at) < RECENT);
+        recent.map(|(&addr, _)| addr)
+    }
+
     /// Records the current membership. The first one says nothing about when its members joined.
     pub(crate) fn record_members(&mut self, now: Time, members: &Members) {
         if self.members == *members {
--- a/src/daemon/registrar.rs
+++ b/src/daemon/registrar.rs
@@ -87,6 +87,8 @@
     Unnamed(oneshot::Sender<UnnamedServers>),
     Peer(Vec<PeerFrame>),
     Feed(Subscriber),
+    /// The settings have changed: seeds, and the target number of voters.
+    Settings(Vec<SocketAddr>, usize),
     /// Replies once the log does not count on this VM.
     ShutDown(oneshot::Sender<()>),
 }
@@ -158,6 +160,14 @@
         Ok(self.call(Call::Read).await??.config)
     }
 
+    /// Replaces the addresses of the control VMs to contact first, and the target number of voters.
+    ///
+    /// A log that is yet to be formed is formed by the seeds of the start.
+    pub async fn update_settings(&self, seeds: Vec<SocketAddr>, voters: usize) {
+        // If the call cannot be sent, the event loop has ended.
+        _ = self.calls.send(Call::Settings(seeds, voters)).await;
+    }
+
     /// Shuts down gracefully: leadership, and the place as a voter, move to other control VMs first.
     ///
     /// Takes 2 s at most. If no other control VM can take the place, this one keeps it.
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -201,6 +201,11 @@
             Call::Leave(id, reply) => self.leave(id, reply),
             Call::Unnamed(reply) => _ = reply.send(self.registry.unnamed_servers()),
             Call::Peer(frames) => self.handle_frames(frames),
+            Call::Settings(seeds, voters) => {
+                self.node.set_seeds(seeds.iter().copied().collect());
+                self.node.set_voter_count(voters);
+                (self.settings.seeds, self.settings.voters) = (seeds, voters);
+            }
             Call::ShutDown(reply) => {
                 log::info!("event=stop");
                 self.handle_event(ControlEvent::Stop);
