Go by the time at which a packet arrived, not by the order of events after a wake-up

Cause: packets were stale until the socket was found empty, and that was asked of the runtime, which says so without a system call when the wait for events ended with EINTR. So all that had waited counted as fresh, and openings that callers had sent again elsewhere reached servers, whose answers changed the callers' cookies.

Evidence: packets_stale tells packets that count as fresh from a cookie that changes in another way; the untouched code forwards all 40 openings that waited for 0.8 s.

Fix: an entry VM reads the kernel's receive time with each datagram; what waited for 0.5 s is stale. Without a time (or when the time of day was set) packets after a gap are stale until a look at the socket itself finds it empty, or as many were read as its buffer holds.

--- a/src/counter.rs
+++ b/src/counter.rs
@@ -73,6 +73,8 @@
     PacketsUntagged => "packets_untagged",
     /// Opening packets dropped because they waited while the VM was suspended.
     PacketsStale => "packets_stale",
+    /// Packets whose time of arrival is not known.
+    PacketsUntimed => "packets_untimed",
     /// Backend servers that became suspect, as openings sent to them went unanswered.
     ServersUnanswered => "servers_unanswered",
     /// Log lines suppressed by the rate limit.
--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -19,6 +19,7 @@
     metrics::{self, Gauge, Metrics},
     presence,
     subscribe::{FeedClient, FeedEvent},
+    udp::TimedReceiver,
 };
 use crate::{
     cookie::{
@@ -160,13 +161,15 @@
             .with_link_rate(settings.link_rate)
             .with_name(&settings.name),
         codec,
-        socket: Arc::new(socket),
         port: settings.packets.port(),
         announce_interval: settings.announce_interval,
         ready,
         index,
         started_at: now,
+        receiver: TimedReceiver::new(&socket),
         last_wake: now,
+        waiting: 0,
+        socket: Arc::new(socket),
         last_report: now,
         counters: Counters::new(),
         metrics,
@@ -190,7 +193,10 @@
     ready: watch::Sender<bool>,
     index: watch::Sender<u64>,
     started_at: Time,
+    receiver: TimedReceiver,
     last_wake: Time,
+    /// Number of packets that may have waited for a pause of this process to end.
+    waiting: usize,
     last_report: Time,
     counters: Counters,
     metrics: Option<Metrics>,
--- a/src/daemon/forward/packets.rs
+++ b/src/daemon/forward/packets.rs
@@ -13,8 +13,13 @@
     time::Time,
 };
 
-/// Gap between wake-ups after which waiting packets count as stale: two ticks.
+/// Age from which on a packet counts as stale: its caller has sent it again, and the fabric may have
+/// taken this VM out of rotation.
+const STALE_AGE: Duration = Duration::from_millis(500);
+/// Gap between wake-ups after which packets of unknown age count as stale: two ticks.
 const STALE_GAP: Duration = Duration::from_millis(500);
+/// Least memory, in bytes, that a datagram takes in the receive buffer.
+const MIN_FOOTPRINT: usize = 512;
 /// One flow in this many is logged, the same one on every VM; at 300 new flows a second, this is
 /// about one line a second.
 const FLOW_SAMPLING: u64 = 256;
@@ -22,13 +27,26 @@
 impl<F: PacketCodec> EventLoop<F> {
     pub(super) fn receive_packets(&mut self, buf: &mut [u8]) -> std::io::Result<()> {
         let now = now();
-        let stale = now.since(self.last_wake) >= STALE_GAP;
-        let socket = self.socket.clone();
-        let is_empty =
-            udp::receive_batch(&socket, buf, |packet, _| self.handle_packet(now, packet, stale))?;
-        if is_empty || !stale {
-            // Until the socket is empty, later packets are as old as the first ones.
-            self.last_wake = now;
+        if now.since(self.last_wake) >= STALE_GAP {
+            // All that may have waited is gone after as many packets as the buffer holds.
+            self.waiting = udp::buffer_size(&self.socket) / MIN_FOOTPRINT;
+        }
+        self.last_wake = now;
+        let (socket, mut receiver) = (self.socket.clone(), std::mem::take(&mut self.receiver));
+        let result = receiver.receive_batch(&socket, buf, |packet, age| {
+            let stale = match age {
+                Some(age) => age >= STALE_AGE,
+                None => self.waiting > 0,
+            };
+            self.waiting = self.waiting.saturating_sub(1);
+            if age.is_none() {
+                self.count(Counter::PacketsUntimed);
+            }
+            self.handle_packet(now, packet, stale);
+        });
+        self.receiver = receiver;
+        if result? {
+            self.waiting = 0;
         }
         if let Some(metrics) = &self.metrics {
             metrics.record(Latency::Batch, self::now().since(now));
