Let another seed form the log if the first one lost its disk

Cause: only that seed could form the log, and one that lost its disk may not; and whoever had heard of a log from it before the loss never forgot that.

Evidence: in the simulation on the untouched code no VM is in any term and none has an entry 15 s later, so nobody waits for a quorum of a log.

Why the fix works: a seed forms the log with the vote of every seed in one term. A vote is granted only without a log, is kept on disk, and shuts out entries of earlier terms, so that a log that was formed before is on no disk but its founder's. A quorum would not do, as a lost disk forgets both entries and votes. A seed that has voted no longer forms a log on its own.

--- a/src/control.rs
+++ b/src/control.rs
@@ -30,7 +30,7 @@
 mod submit;
 
 use feed::{PendingReport, RecentCommands};
-use formation::Bootstrap;
+use formation::{Bootstrap, Formation};
 use read::PendingRead;
 use submit::PendingSubmission;
 
@@ -349,10 +349,19 @@
             let envelope = self.envelope(None, ControlMessage::Probe);
             out.push(ControlAction::Send { to, envelope });
         }
-        if self.replica.last().index == 0
-            && let Some(members) = self.bootstrap.initial_members(now, me, &self.endpoint)
-        {
-            self.replica.bootstrap(members, actions);
+        let term = self.replica.term();
+        if self.replica.last().index > 0 {
+            return;
+        }
+        match self.bootstrap.next_formation(now, me, &self.endpoint, term) {
+            Some(Formation::Direct(members)) => self.replica.bootstrap(members, actions),
+            Some(Formation::ByVote(members)) => {
+                let has_asked = self.replica.found(now, members, actions);
+                if has_asked {
+                    self.bootstrap.record_attempt(now);
+                }
+            }
+            None => {}
         }
     }
 
@@ -375,7 +384,7 @@
             }
             ControlMessage::Probe => {
                 self.replica.join(now, from, endpoint, actions);
-                let log_exists = self.replica.last().index > 0 || self.replica.term() > 0;
+                let log_exists = self.replica.last().index > 0;
                 let leader = self.leader().cloned();
                 self.send(from, ControlMessage::ProbeReply { log_exists, leader }, out);
             }
--- a/src/control/formation.rs
+++ b/src/control/formation.rs
@@ -1,8 +1,10 @@
 //! Discovery of an existing cluster and bootstrap of a new one.
 //!
 //! A cluster is bootstrapped only once every configured voter has answered and none of them has a
-//! log, and only by the voter with the lowest name. A voter whose disk was wiped therefore cannot
-//! start a second log beside the existing one; it asks to join.
+//! log. The voter with the lowest name does so at once. If it lost its disk meanwhile, it may not
+//! know of a log that it has formed, and only asks to join; another voter then asks all of them for
+//! their vote first ([`Replica::found`](super::Replica::found)), the one with the lower name
+//! earlier.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -20,6 +22,16 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a probe reply is valid.
 const PROBE_REPLY_TTL: Duration = Duration::from_millis(2_000);
+/// Time that each voter gives the one with the next lower name to form the log: several probes.
+const PRECEDENCE_TIME: Duration = Duration::from_millis(1_500);
+
+/// A way to form the log.
+pub(crate) enum Formation {
+    /// At once: it is the first one's right unless it gave its vote away.
+    Direct(Members),
+    /// With the vote of each voter, as the first one may have formed a log.
+    ByVote(Members),
+}
 
 /// Bootstrap state of a replica without a log.
 #[derive(Debug, Clone)]
@@ -29,7 +41,11 @@
     /// Control VMs to probe, which may change.
     seeds: BTreeSet<SocketAddr>,
     candidates: BTreeMap<Name, (Time, ReplicaId, ControlEndpoint)>,
-    log_exists: bool,
+    /// Control VMs whose latest reply says that they have a log.
+    holders: BTreeSet<Name>,
+    /// Time since when all voters have answered and nobody has a log.
+    ready_since: Option<Time>,
+    join_only: bool,
     next_probe: Time,
 }
 
@@ -39,7 +55,9 @@
             seeds: voters.values().copied().collect(),
             voters,
             candidates: BTreeMap::new(),
-            log_exists: false,
+            holders: BTreeSet::new(),
+            ready_since: None,
+            join_only: false,
             next_probe: Time::ZERO,
         }
     }
@@ -52,7 +70,7 @@
 
     /// Forbids this replica to bootstrap a cluster.
     pub(crate) fn with_join_only(mut self) -> Bootstrap {
-        self.log_exists = true;
+        self.join_only = true;
         self
     }
 
@@ -88,21 +106,64 @@
         endpoint: ControlEndpoint,
         log_exists: bool,
     ) {
-        self.log_exists |= log_exists;
+        if log_exists {
+            self.holders.insert(endpoint.name.clone());
+        } else {
+            self.holders.remove(&endpoint.name);
+        }
         if self.voters.contains_key(&endpoint.name) {
-            self.candidates.insert(endpoint.name.clone(), (now, from, endpoint));
+            let (name, id) = (endpoint.name.clone(), from);
+            let before = self.candidates.insert(name, (now, from, endpoint));
+            if before.is_some_and(|(_, replica, _)| replica != id) {
+                // A disk was lost: all others take note of the new one first.
+                self.ready_since = None;
+            }
+        }
+    }
+
+    /// Returns how this replica should form the log now, if it should. `term` is the latest term
+    /// that it has seen.
+    pub(crate) fn next_formation(
+        &mut self,
+        now: Time,
+        me: ReplicaId,
+        endpoint: &ControlEndpoint,
+        term: u64,
+    ) -> Option<Formation> {
+        if self.join_only {
+            return None;
+        }
+        let Some(members) = self.initial_members(now, me, endpoint) else {
+            self.ready_since = None;
+            return None;
+        };
+        let rank = self.voters.keys().position(|name| *name == endpoint.name).unwrap_or(0);
+        // A replica that has voted has promised not to act on its own.
+        if rank == 0 && term == 0 {
+            return Some(Formation::Direct(members));
         }
+        let since = *self.ready_since.get_or_insert(now);
+        if now.since(since) < PRECEDENCE_TIME * rank as u32 {
+            return None;
+        }
+        Some(Formation::ByVote(members))
+    }
+
+    /// Records that the voters are asked now, so that one with a lower name asks before this one does
+    /// again.
+    pub(crate) fn record_attempt(&mut self, now: Time) {
+        self.ready_since = Some(now);
     }
 
-    /// Returns the initial members if this replica should bootstrap the cluster now.
-    pub(crate) fn initial_members(
+    /// Returns the voters that form the log if all of them have answered lately and none has one.
+    fn initial_members(
         &self,
         now: Time,
         me: ReplicaId,
         endpoint: &ControlEndpoint,
     ) -> Option<Members> {
-        let first = self.voters.keys().next().is_none_or(|name| *name == endpoint.name);
-        if self.log_exists || !first {
+        let is_voter = self.voters.is_empty() || self.voters.contains_key(&endpoint.name);
+        if !is_voter || !self.holders.is_empty() {
             return None;
         }
         let mut members = Members::new([(me, endpoint.clone())]);
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -77,6 +77,13 @@
         /// Time of the first request.
         asked_at: Time,
     },
+    /// Asks each voter of a log that is yet to be formed for its vote.
+    Founder {
+        /// The voters.
+        members: Members,
+        /// Voters that granted their vote.
+        granted: BTreeSet<ReplicaId>,
+    },
     /// Replicates its log to the other replicas.
     Leader(LeaderState),
 }
@@ -383,6 +390,9 @@
             Role::Candidate { pre_vote: false, .. } if self.writes.is_hard_synced() => {
                 self.record_vote(now, self.id, out);
             }
+            Role::Founder { .. } if self.writes.is_hard_synced() => {
+                self.record_consent(now, self.id, out);
+            }
             _ if self.writes.synced_index() > before => self.send_acknowledgement(out),
             _ => {}
         }
--- a/src/standin/replicas.rs
+++ b/src/standin/replicas.rs
@@ -41,6 +41,8 @@
     epoch: u64,
     /// Last committed index that was compared with the other VMs.
     checked_index: u64,
+    /// Whether it may only join a log.
+    join_only: bool,
 }
 
 enum QueuedEvent {
@@ -157,6 +159,7 @@
             pending_writes: VecDeque::new(),
             epoch: 0,
             checked_index: 0,
+            join_only: false,
         };
         self.vms.insert(name.clone(), vm);
         self.start(&name);
@@ -226,7 +229,11 @@
                 vm.checked_index = recovered.snapshot.last_entry.index;
                 let node = ControlNode::new(now, vm.endpoint.clone(), recovered, voters);
                 let node = node.ok().map(|node| node.with_voter_count(voter_count));
-                vm.node = if join_only { node.map(ControlNode::with_join_only) } else { node };
+                vm.node = if join_only || vm.join_only {
+                    node.map(ControlNode::with_join_only)
+                } else {
+                    node
+                };
             }
             Err(err) if err.is_storage() => {
                 self.violations
@@ -261,6 +268,14 @@
         self.vms[vm].disk.wipe();
     }
 
+    /// Like [`Replicas::wipe`] for a VM that is told of its loss, so that it forms no log any more.
+    pub fn lose_disk(&mut self, vm: &str) {
+        self.wipe(vm);
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.join_only = true;
+        }
+    }
+
     /// Submits a command to a VM; the result is stored in [`Replicas::submit_results`] under the
     /// returned ticket.
     pub fn submit(&mut self, vm: &str, submission: Submission) -> u64 {
