Read the clock after each packet, and its receive time only where it decides

Cause: the clock was read once for a batch of up to 64 packets. After a freeze within the batch, whatever arrived meanwhile was younger than that reading, and passed for new.

Why the fix works: the clock is read after each receive. What arrives after a look at the empty socket is younger than that look, so within 0.5 s of one a plain receive is enough; beyond it, the kernel's receive time decides.

--- a/src/daemon/forward.rs
+++ b/src/daemon/forward.rs
@@ -166,7 +166,6 @@
         ready,
         index,
         started_at: now,
-        receiver: TimedReceiver::new(&socket),
         last_wake: now,
         waiting: 0,
         socket: Arc::new(socket),
@@ -193,7 +192,6 @@
     ready: watch::Sender<bool>,
     index: watch::Sender<u64>,
     started_at: Time,
-    receiver: TimedReceiver,
     last_wake: Time,
     /// Number of packets that may have waited for a pause of this process to end.
     waiting: usize,
@@ -214,6 +212,7 @@
 impl<F: PacketCodec> EventLoop<F> {
     async fn serve(mut self, mut feed_events: mpsc::Receiver<FeedEvent>) {
         let mut buf = vec![0; PACKET_BUF_LEN];
+        let mut receiver = TimedReceiver::new(&self.socket, packets::STALE_AGE);
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -224,7 +223,7 @@
                     Ok(())
                 }
                 readable = self.socket.readable() => {
-                    readable.and_then(|()| self.receive_packets(&mut buf))
+                    readable.and_then(|()| self.receive_packets(&mut receiver, &mut buf))
                 }
                 event = feed_events.recv() => match event {
                     Some(event) => {
@@ -235,7 +234,9 @@
                     None => return,
                 },
                 // Packets that arrived while the VM was suspended are received at the latest here.
-                _ = ticks.tick() => self.receive_packets(&mut buf).map(|()| self.tick()),
+                _ = ticks.tick() => {
+                    self.receive_packets(&mut receiver, &mut buf).map(|()| self.tick())
+                }
             };
             if let Err(err) = result {
                 log::error!("event=socket_failed reason={:?}", err.to_string());
--- a/src/daemon/forward/packets.rs
+++ b/src/daemon/forward/packets.rs
@@ -9,13 +9,16 @@
 use crate::{
     cookie::{DropReason, FlowReset, FlowVerdict, HeldPacket, PacketInfo, ResetReason, Resource},
     counter::Counter,
-    daemon::{metrics::Latency, udp},
+    daemon::{
+        metrics::Latency,
+        udp::{self, TimedReceiver},
+    },
     time::Time,
 };
 
 /// Age from which on a packet counts as stale: its caller has sent it again, and the fabric may have
 /// taken this VM out of rotation.
-const STALE_AGE: Duration = Duration::from_millis(500);
+pub(super) const STALE_AGE: Duration = Duration::from_millis(500);
 /// Gap between wake-ups after which packets of unknown age count as stale: two ticks.
 const STALE_GAP: Duration = Duration::from_millis(500);
 /// Least memory, in bytes, that a datagram takes in the receive buffer.
@@ -25,14 +28,18 @@
 const FLOW_SAMPLING: u64 = 256;
 
 impl<F: PacketCodec> EventLoop<F> {
-    pub(super) fn receive_packets(&mut self, buf: &mut [u8]) -> std::io::Result<()> {
+    pub(super) fn receive_packets(
+        &mut self,
+        receiver: &mut TimedReceiver,
+        buf: &mut [u8],
+    ) -> std::io::Result<()> {
         let now = now();
         if now.since(self.last_wake) >= STALE_GAP {
             // All that may have waited is gone after as many packets as the buffer holds.
             self.waiting = udp::buffer_size(&self.socket) / MIN_FOOTPRINT;
         }
         self.last_wake = now;
-        let (socket, mut receiver) = (self.socket.clone(), std::mem::take(&mut self.receiver));
+        let socket = self.socket.clone();
         let result = receiver.receive_batch(&socket, buf, |packet, age| {
             let stale = match age {
                 Some(age) => age >= STALE_AGE,
@@ -44,7 +51,6 @@
             }
             self.handle_packet(now, packet, stale);
         });
-        self.receiver = receiver;
         if result? {
             self.waiting = 0;
         }
--- a/src/daemon/udp.rs
+++ b/src/daemon/udp.rs
@@ -9,7 +9,7 @@
 
 use nix::{
     sys::{
-        socket::{ControlMessageOwned, MsgFlags, getsockopt, recvmsg, setsockopt, sockopt},
+        socket::{ControlMessageOwned, MsgFlags, getsockopt, recv, recvmsg, setsockopt, sockopt},
         time::TimeSpec,
     },
     time::{ClockId, clock_gettime},
@@ -54,28 +54,37 @@
 const CLOCK_STEP: Duration = Duration::from_millis(50);
 
 /// Receives datagrams with the time for which they have waited in the socket.
-#[derive(Default)]
+///
+/// What arrives after a look at the empty socket is younger than the look. Only if that is not enough
+/// to call it new, the system is asked for its receive time, which takes longer.
 pub(super) struct TimedReceiver {
+    /// Age from which on a datagram is not new any more.
+    stale_age: Duration,
+    /// Time since boot at which the socket was last seen empty, in nanoseconds.
+    emptied_at: i128,
+    /// Time of day less the time since boot, in nanoseconds, when it was last asked for.
+    offset: Option<i128>,
     /// Space for the receive time.
     control: Vec<u8>,
-    /// Time of day less the time since boot at the last batch.
-    offset: Option<i128>,
 }
 
 impl TimedReceiver {
-    /// Creates a receiver for `socket`, whose datagrams get receive times if the system has them.
-    pub(super) fn new(socket: &UdpSocket) -> TimedReceiver {
+    /// Creates a receiver for `socket`, whose datagrams get receive times if the system has them. It
+    /// tells datagrams that have waited for `stale_age` from others.
+    pub(super) fn new(socket: &UdpSocket, stale_age: Duration) -> TimedReceiver {
         if let Err(err) = setsockopt(socket, sockopt::ReceiveTimestampns, &true) {
             log::warn!("event=no_receive_times reason={:?}", err.to_string());
         }
-        let mut receiver = TimedReceiver { control: nix::cmsg_space!(TimeSpec), offset: None };
+        let control = nix::cmsg_space!(TimeSpec);
+        let mut receiver =
+            TimedReceiver { stale_age, emptied_at: boot_time(), offset: None, control };
         receiver.time_of_day();
         receiver
     }
 
-    /// Receives up to [`MAX_BATCH`] waiting datagrams and passes each to `handle`, with the time for
-    /// which it has waited. The time is `None` if the system does not tell, or if the time of day was
-    /// set meanwhile.
+    /// Receives up to [`MAX_BATCH`] waiting datagrams and passes each to `handle`, with the longest
+    /// time for which it can have waited. The time is `None` if the system does not tell, or if the
+    /// time of day was set meanwhile.
     ///
     /// Never waits; returns whether the socket is empty, which is found out by a look at it and not by
     /// what the runtime knows of it.
@@ -89,14 +98,31 @@
         buf: &mut [u8],
         mut handle: impl FnMut(&[u8], Option<Duration>),
     ) -> io::Result<bool> {
-        let now = self.time_of_day();
+        let mut now = boot_time();
         for _ in 0..MAX_BATCH {
-            match self.receive(socket, buf) {
+            let looked_at = now;
+            let is_timed = nanos_between(self.emptied_at, looked_at) >= self.stale_age;
+            let result = if is_timed {
+                look(socket, || receive_timed(socket, buf, &mut self.control))
+            } else {
+                look(socket, || Ok((recv(socket.as_raw_fd(), buf, MsgFlags::MSG_DONTWAIT)?, None)))
+            };
+            // The process may have been paused since the look.
+            now = boot_time();
+            match result {
                 Ok((len, received)) => {
-                    let age = now.zip(received).map(|(now, received)| age(now, received));
+                    let age = if is_timed {
+                        self.time_of_day().zip(received).map(|(day, at)| nanos_between(at, day))
+                    } else {
+                        Some(nanos_between(self.emptied_at, now))
+                    };
                     handle(&buf[..len], age);
                 }
-                Err(err) if err.kind() == io::ErrorKind::WouldBlock => return Ok(true),
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
+                    self.emptied_at = looked_at;
+                    self.time_of_day();
+                    return Ok(true);
+                }
                 // Reports an ICMP error for a datagram sent earlier; the socket still works.
                 Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => {}
                 Err(err) => return Err(err),
@@ -105,41 +131,40 @@
         Ok(false)
     }
 
-    /// Returns the time of day, in nanoseconds, unless it was set since the last batch.
+    /// Returns the time of day, in nanoseconds, unless it was set since the last call.
     fn time_of_day(&mut self) -> Option<i128> {
-        let [day, boot] = [ClockId::CLOCK_REALTIME, ClockId::CLOCK_BOOTTIME]
-            .map(|clock| clock_gettime(clock).map(nanos).unwrap_or_default());
-        let offset = day - boot;
+        let day = clock_gettime(ClockId::CLOCK_REALTIME).map(nanos).unwrap_or_default();
+        let offset = day - boot_time();
         let before = self.offset.replace(offset)?;
         (offset.abs_diff(before) < CLOCK_STEP.as_nanos()).then_some(day)
     }
+}
 
-    fn receive(&mut self, socket: &UdpSocket, buf: &mut [u8]) -> io::Result<(usize, Option<i128>)> {
-        let mut asked = false;
-        let result = socket.try_io(Interest::READABLE, || {
-            asked = true;
-            self.receive_now(socket, buf)
-        });
-        // The runtime does not look at a socket that it believes to be empty. After a pause of the
-        // process its view is as old as the pause.
-        if asked { result } else { self.receive_now(socket, buf) }
-    }
+/// Calls `receive` even if the runtime believes the socket to be empty. After a pause of the process
+/// its view is as old as the pause.
+fn look<T>(socket: &UdpSocket, mut receive: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let mut has_looked = false;
+    let result = socket.try_io(Interest::READABLE, || {
+        has_looked = true;
+        receive()
+    });
+    if has_looked { result } else { receive() }
+}
 
-    fn receive_now(
-        &mut self,
-        socket: &UdpSocket,
-        buf: &mut [u8],
-    ) -> io::Result<(usize, Option<i128>)> {
-        let mut parts = [IoSliceMut::new(buf)];
-        let flags = MsgFlags::MSG_DONTWAIT;
-        let control = Some(&mut self.control[..]);
-        let message = recvmsg::<()>(socket.as_raw_fd(), &mut parts, control, flags)?;
-        let received = message.cmsgs()?.find_map(|control| match control {
-            ControlMessageOwned::ScmTimestampns(time) => Some(nanos(time)),
-            _ => None,
-        });
-        Ok((message.bytes, received))
-    }
+/// Receives a datagram with its receive time, in nanoseconds of the time of day.
+fn receive_timed(
+    socket: &UdpSocket,
+    buf: &mut [u8],
+    control: &mut [u8],
+) -> io::Result<(usize, Option<i128>)> {
+    let mut parts = [IoSliceMut::new(buf)];
+    let flags = MsgFlags::MSG_DONTWAIT;
+    let message = recvmsg::<()>(socket.as_raw_fd(), &mut parts, Some(control), flags)?;
+    let received = message.cmsgs()?.find_map(|control| match control {
+        ControlMessageOwned::ScmTimestampns(time) => Some(nanos(time)),
+        _ => None,
+    });
+    Ok((message.bytes, received))
 }
 
 /// Returns the size of the receive buffer of `socket` in bytes.
@@ -147,13 +172,18 @@
     getsockopt(socket, sockopt::RcvBuf).unwrap_or(DEFAULT_BUFFER)
 }
 
+/// Returns the time since boot, in nanoseconds, which counts while the VM is suspended.
+fn boot_time() -> i128 {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map(nanos).unwrap_or_default()
+}
+
 fn nanos(time: TimeSpec) -> i128 {
     i128::from(time.tv_sec()) * 1_000_000_000 + i128::from(time.tv_nsec())
 }
 
-/// Returns the age of a datagram; one that arrived after the batch was begun is new.
-fn age(now: i128, received: i128) -> Duration {
-    Duration::from_nanos(u64::try_from(now - received).unwrap_or_default())
+/// Returns the time from `start` to `end`, or zero if `end` is earlier.
+fn nanos_between(start: i128, end: i128) -> Duration {
+    Duration::from_nanos(u64::try_from(end - start).unwrap_or_default())
 }
 
 /// Sends `bytes` without waiting; returns whether the socket accepted them.
