Begin the numbers of forwarded calls at random

Callers could see: an acknowledged order that was lost, or a read of the past, if a control VM started again while the reply to a forwarded call of its earlier start was under way. Found by reading; no run has shown it.

Cause: replies name the call by a number that began at 1 in each start, and the replica that they are addressed to stays the same over a restart.

Evidence: the log of a control VM that was killed twice names orders of two starts by the same numbers (event=order ticket=).

Why the fix works: the first number is drawn from 64 bits, so that a number of an earlier start is not in use. Reads and reports share the counter.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,6 +18,7 @@
 mod registrar;
 mod stop;
 mod subscribe;
+mod tickets;
 mod udp;
 mod writer;
 
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -21,7 +21,10 @@
         ControlAction, ControlEndpoint, ControlEvent, ControlNode, ControlStatus, Envelope,
         HistoryEntry, Signer, Submission, SubmitResult,
     },
-    daemon::writer::{self, Job},
+    daemon::{
+        tickets::Tickets,
+        writer::{self, Job},
+    },
     error::{Error, Result},
     peer::Keys,
     rpc::{
@@ -172,7 +175,7 @@
         signer,
         pending_replies: BTreeMap::new(),
         pending_reads: BTreeMap::new(),
-        last_ticket: 0,
+        tickets: Tickets::new(),
         started_at: Instant::now(),
     };
     tokio::spawn(event_loop.serve(call_queue, storage_events, response_queue));
@@ -206,7 +209,7 @@
     pending_replies: BTreeMap<u64, oneshot::Sender<Reply>>,
     /// Read calls whose result is not confirmed yet, by ticket.
     pending_reads: BTreeMap<u64, Call>,
-    last_ticket: u64,
+    tickets: Tickets,
     started_at: Instant,
 }
 
@@ -259,9 +262,9 @@
                 None
             }
             Call::Tree(_) | Call::History(_) => {
-                self.last_ticket += 1;
-                self.pending_reads.insert(self.last_ticket, call);
-                Some(ControlEvent::Read { ticket: self.last_ticket })
+                let ticket = self.tickets.next();
+                self.pending_reads.insert(ticket, call);
+                Some(ControlEvent::Read { ticket })
             }
             Call::Status(reply) => {
                 _ = reply.send(self.node.status(now));
@@ -271,9 +274,9 @@
     }
 
     fn add_pending(&mut self, reply: oneshot::Sender<Reply>) -> u64 {
-        self.last_ticket += 1;
-        self.pending_replies.insert(self.last_ticket, reply);
-        self.last_ticket
+        let ticket = self.tickets.next();
+        self.pending_replies.insert(ticket, reply);
+        ticket
     }
 
     /// Handles a message from another control VM. The first message to its sender is returned as
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -20,6 +20,7 @@
         link::{Outbound, PeerFrame},
         metrics::{Gauge, Latency, Metrics},
         publish::{Publisher, VmReport},
+        tickets::Tickets,
         writer::Job,
     },
     error::{Error, Result},
@@ -74,7 +75,7 @@
     pub(super) peers: BTreeMap<SocketAddr, Peer>,
     /// Calls without a reply yet, by ticket, with their start time.
     pending: BTreeMap<u64, (Time, PendingCall)>,
-    last_ticket: u64,
+    tickets: Tickets,
     /// Whether another control VM has sent all of its records.
     pub(super) synchronised: bool,
     gossip_due: Time,
@@ -118,7 +119,7 @@
             connected,
             peers: BTreeMap::new(),
             pending: BTreeMap::new(),
-            last_ticket: 0,
+            tickets: Tickets::new(),
             synchronised: false,
             gossip_due: Time::ZERO,
             request_due: Time::ZERO,
@@ -226,9 +227,9 @@
     }
 
     fn add_pending(&mut self, call: PendingCall) -> u64 {
-        self.last_ticket += 1;
-        self.pending.insert(self.last_ticket, (self.now(), call));
-        self.last_ticket
+        let ticket = self.tickets.next();
+        self.pending.insert(ticket, (self.now(), call));
+        ticket
     }
 
     fn announce(&mut self, announcement: Announcement, reply: oneshot::Sender<Result<()>>) {
