Hold packets of unknown routes until the plan is confirmed

Callers could see: an open flow on a new route reset by an entry VM that has just started, if the first control VM that it hears has just started, too, and does not know the route yet.

Cause: any plan counted as the one in force, while servers that are not known yet are waited for.

Evidence: with the older plan and an unconfirmed heartbeat the packet was not held; unknown routes are reset.

Red before: held_packets (packets_of_an_unknown_route_wait_for_a_newer_plan).

--- a/src/cookie/forwarder.rs
+++ b/src/cookie/forwarder.rs
@@ -61,6 +61,8 @@
     all_sent: bool,
     /// Whether a control VM has sent its server records of this availability zone.
     zone_sent: bool,
+    /// Whether a control VM has said that no newer plan is in force.
+    plan_confirmed: bool,
     last_sweep: Time,
 }
 
@@ -85,6 +87,7 @@
             started: now,
             all_sent: false,
             zone_sent: false,
+            plan_confirmed: false,
             last_sweep: now,
         }
     }
@@ -160,7 +163,8 @@
 
     fn apply_message(&mut self, now: Time, source: SocketAddr, message: FeedMessage) {
         match message {
-            FeedMessage::Heartbeat { registry_age, .. } => {
+            FeedMessage::Heartbeat { confirmed, registry_age, .. } => {
+                self.plan_confirmed |= confirmed && self.plan.index > 0;
                 self.directory.set_registry_age(source, registry_age);
                 self.all_sent |= !self.directory.is_changes_only(source);
             }
@@ -280,6 +284,10 @@
         if self.plan.index == 0 || self.directory.is_empty() {
             return true;
         }
+        // The control VM may have just started, too, and not know the route yet.
+        if !self.plan_confirmed && !self.routes.contains_key(&packet.route) {
+            return true;
+        }
         match packet.opens {
             true => !(self.all_sent || self.zone_sent && self.has_local(packet)),
             false => self.directory.by_cookie(packet.cookie).is_none(),
--- a/tests/held_packets.rs
+++ b/tests/held_packets.rs
@@ -1,10 +1,10 @@
 //! Packets that reach an entry VM before it knows a plan and the backend servers.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 use galenatrail::{
-    Announcement, FeedMessage, Forwarder, HeldPackets, PacketInfo, ServerRecord, Time,
-    server_cookie,
+    Announcement, FeedMessage, FlowVerdict, Forwarder, HeldPackets, PacketInfo, ResetReason,
+    ServerRecord, Time, server_cookie,
 };
 
 #[path = "support/cookie.rs"]
@@ -89,6 +89,47 @@
     assert_eq!(expect_forward(forwarder.decide(at(5), &packet, false)).0, 1);
 }
 
+/// Returns a forwarder whose only control VM does not know the route of the tests, as it has started
+/// again itself, and is not confirmed.
+fn with_older_plan() -> Forwarder {
+    let mut forwarder = Forwarder::new(Time::ZERO, "a".into(), PERIOD);
+    let mut older = (*plan(1, &[])).clone();
+    Arc::make_mut(&mut older.config).routes.clear();
+    forwarder.handle_feed(at(1), control_addr(), FeedMessage::Plan(Arc::new(older)));
+    forwarder.handle_feed(at(2), control_addr(), records(&[announcement(1, "a")]));
+    forwarder.handle_feed(at(3), control_addr(), heartbeat());
+    forwarder
+}
+
+/// Guards against a reset of an open flow whose route is newer than the first plan that a VM gets.
+#[test]
+fn packets_of_an_unknown_route_wait_for_a_newer_plan() {
+    for packet in [opening(1, 1), following(opening(1, 1), server_cookie(1))] {
+        let mut forwarder = with_older_plan();
+        assert!(forwarder.awaits_feed(at(4), &packet), "{packet:?}");
+        forwarder.handle_feed(at(5), control_addr(), FeedMessage::Plan(plan(2, &[])));
+        assert!(!forwarder.awaits_feed(at(6), &packet), "{packet:?}");
+        assert_eq!(expect_forward(forwarder.decide(at(6), &packet, false)).0, 1);
+    }
+}
+
+#[test]
+fn packets_of_an_unknown_route_do_not_wait_for_a_confirmed_plan() {
+    let mut forwarder = with_older_plan();
+    let confirmed = match heartbeat() {
+        FeedMessage::Heartbeat { index, registry_age, control_vms, .. } => {
+            FeedMessage::Heartbeat { index, confirmed: true, registry_age, control_vms }
+        }
+        other => other,
+    };
+    forwarder.handle_feed(at(5), control_addr(), confirmed);
+    for packet in [opening(1, 1), following(opening(1, 1), server_cookie(1))] {
+        assert!(!forwarder.awaits_feed(at(6), &packet), "{packet:?}");
+        let verdict = forwarder.decide(at(6), &packet, false);
+        assert_eq!(verdict, FlowVerdict::Reset(ResetReason::NoRoute));
+    }
+}
+
 #[test]
 fn nothing_waits_long_after_the_start() {
     let forwarder = forwarder(&[]);
