Show how many more losses the log bears

Operators saw the voters' names, but not which of them the leader hears. The leader's log line says it at each change, with the reason of a change of the membership; log_margin and galenactl status say it, too.

--- a/src/control.rs
+++ b/src/control.rs
@@ -116,6 +116,8 @@
     acks: Acks,
     mover: MoveScheduler,
     leader_term: Option<u64>,
+    /// Losses that the log bears, as last logged.
+    margin: Option<usize>,
     counters: Counters,
 }
 
@@ -148,6 +150,7 @@
             acks: Acks::with_start(now, 0),
             mover: MoveScheduler::new(),
             leader_term: None,
+            margin: None,
             counters: Counters::new(),
         };
         node.restore()?;
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -335,6 +335,13 @@
         if self.is_leader() { self.lease_start(now).is_some() } else { heard && !self.halted }
     }
 
+    /// Returns how many more voters the log may lose now and still have a quorum. `None` if this replica
+    /// is not the leader.
+    pub fn margin(&self, now: Time) -> Option<usize> {
+        let Role::Leader(leader) = &self.role else { return None };
+        Some(leader.margin(now, self.id, &self.members))
+    }
+
     /// Returns the latest time at which a quorum is known to have accepted this replica as leader.
     /// `None` if it is not the leader or no entry of its term is committed yet.
     pub fn leadership_confirmed(&self, now: Time) -> Option<Time> {
--- a/src/control/replica/lead.rs
+++ b/src/control/replica/lead.rs
@@ -321,6 +321,14 @@
         members.voters.keys().filter(is_reachable).count() >= members.quorum()
     }
 
+    /// Returns how many more voters may be lost before there is no quorum, counting as lost those that
+    /// have not replied lately.
+    pub(crate) fn margin(&self, now: Time, me: ReplicaId, members: &Members) -> usize {
+        let voters = members.voters.keys().copied();
+        let present = voters.filter(|voter| *voter == me || self.is_present(now, *voter)).count();
+        present.saturating_sub(members.quorum())
+    }
+
     /// Returns the highest index synced by a quorum; `synced` is the leader's synced index.
     pub(crate) fn quorum_index(&self, me: ReplicaId, members: &Members, synced: u64) -> u64 {
         let index = |replica: ReplicaId| {
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -61,6 +61,8 @@
     pub zones_out: Vec<Name>,
     /// Backend servers drained by operators.
     pub drains: Vec<Name>,
+    /// How many more voters the log may lose now and still have a quorum; known to the leader.
+    pub margin: Option<usize>,
     /// All replicas of the cluster.
     pub members: Vec<ReplicaStatus>,
 }
@@ -95,12 +97,13 @@
             index: self.state().index,
             zones_out: self.state().zones_out.keys().cloned().collect(),
             drains: self.state().drains.iter().cloned().collect(),
+            margin: replica.margin(now),
             members: voters.chain(learners).collect(),
         }
     }
 
-    /// Handles one event. Returns the actions, and a log line if the role, term, leader or members
-    /// changed.
+    /// Handles one event. Returns the actions, and a log line if the role, term, leader, members or
+    /// margin changed.
     pub(crate) fn handle_logged(
         &mut self,
         now: Time,
@@ -109,6 +112,7 @@
         let before = self.status_line();
         let mut out = Vec::new();
         self.handle(now, event, &mut out);
+        self.margin = self.replica.margin(now);
         let after = self.status_line();
         (out, (before != after).then_some(after))
     }
@@ -132,6 +136,9 @@
             members.learners.len(),
             names(&members.learners)
         );
+        if let Some(margin) = self.margin {
+            line += &format!(", bears {margin} more losses");
+        }
         if let Some(reason) = self.replica().change_reason() {
             line += &format!(", as {reason}");
         }
--- a/src/ctl/status.rs
+++ b/src/ctl/status.rs
@@ -25,6 +25,9 @@
     let leader = status.leader.as_deref().unwrap_or("none known");
     println!("{} in term {}, leader: {leader}", status.name, status.term);
     println!("entries committed: {}, commands applied: {}", status.commit, status.index);
+    if let Some(margin) = status.margin {
+        println!("voters that the log may still lose: {margin}");
+    }
     println!("zones out: {}", join_names(&status.zones_out));
     println!("servers drained: {}\n", join_names(&status.drains));
     let or_dash = |value: Option<u64>| value.map_or_else(|| "-".into(), |value| value.to_string());
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -74,6 +74,8 @@
     Flows,
     /// Entry VMs subscribed to the feed.
     Subscribers,
+    /// Voters that the log may lose now and still have a quorum, as the leader knows; 0 elsewhere.
+    LogMargin,
     /// Bytes that the budget of the VM's link has left.
     LinkBudget,
     /// Bytes per second with which this budget refills.
@@ -91,7 +93,7 @@
 }
 
 impl Gauge {
-    const ALL: [Gauge; 15] = [
+    const ALL: [Gauge; 16] = [
         Gauge::PlanIndex,
         Gauge::PlanNumber,
         Gauge::PlanAge,
@@ -100,6 +102,7 @@
         Gauge::ServersUnnamed,
         Gauge::Flows,
         Gauge::Subscribers,
+        Gauge::LogMargin,
         Gauge::LinkBudget,
         Gauge::LinkRate,
         Gauge::LinkWait,
@@ -119,6 +122,7 @@
             Gauge::ServersUnnamed => "servers_unnamed",
             Gauge::Flows => "flows_seen",
             Gauge::Subscribers => "subscribers",
+            Gauge::LogMargin => "log_margin",
             Gauge::LinkBudget => "link_budget_bytes",
             Gauge::LinkRate => "link_refill_rate",
             Gauge::LinkWait => "link_wait_ms",
--- a/src/daemon/registrar/event_loop.rs
+++ b/src/daemon/registrar/event_loop.rs
@@ -475,6 +475,7 @@
         metrics.set(Gauge::RegistryAge, self.registry.age(now).as_millis() as u64);
         metrics.set(Gauge::Servers, self.registry.records().count() as u64);
         metrics.set(Gauge::ServersUnnamed, self.registry.unnamed() as u64);
+        metrics.set(Gauge::LogMargin, self.node.replica().margin(now).unwrap_or(0) as u64);
         metrics.set(Gauge::Subscribers, self.publisher.subscribers() as u64);
     }
 
