--- a/src/control.rs
+++ b/src/control.rs
@@ -17,12 +17,14 @@
     time::Time,
 };
 
+mod apply;
 mod event;
 mod feed;
 mod formation;
 mod machine;
 mod message;
 mod read;
+mod receive;
 mod replica;
 mod sign;
 mod status;
@@ -30,7 +32,7 @@
 mod submit;
 
 use feed::{PendingReport, RecentCommands};
-use formation::{Bootstrap, Formation};
+use formation::Bootstrap;
 use read::PendingRead;
 use submit::PendingSubmission;
 
@@ -330,182 +332,6 @@
         }
     }
 
-    /// Probes other control VMs for a cluster to join, and bootstraps one when possible.
-    fn find_cluster(
-        &mut self,
-        now: Time,
-        actions: &mut Vec<ReplicaAction>,
-        out: &mut Vec<ControlAction>,
-    ) {
-        let me = self.replica.id();
-        // A member that knows no leader keeps probing: it may have been removed while it was
-        // unreachable.
-        let followed = self.replica.leader().is_some();
-        let member = self.replica.members().endpoint(me).is_some();
-        if self.replica.is_halted() || (member && followed) {
-            return;
-        }
-        let members = self.replica.members().iter().map(|(_, endpoint)| endpoint.addr);
-        // Control VMs that reach this one may know the log, whatever the settings say.
-        let others = members.chain(self.replica.heard_lately(now)).collect();
-        for to in self.bootstrap.probe_targets(now, &self.endpoint, others) {
-            let envelope = self.envelope(None, ControlMessage::Probe);
-            out.push(ControlAction::Send { to, envelope });
-        }
-        let term = self.replica.term();
-        if self.replica.last().index > 0 {
-            return;
-        }
-        match self.bootstrap.next_formation(now, me, &self.endpoint, term) {
-            Some(Formation::Direct(members)) => self.replica.bootstrap(members, actions),
-            Some(Formation::ByVote(members)) => {
-                let has_asked = self.replica.found(now, members, actions);
-                if has_asked {
-                    self.bootstrap.record_attempt(now);
-                }
-            }
-            None => {}
-        }
-    }
-
-    fn handle_message(
-        &mut self,
-        now: Time,
-        envelope: Envelope,
-        actions: &mut Vec<ReplicaAction>,
-        out: &mut Vec<ControlAction>,
-    ) {
-        let Envelope { from, endpoint, to, message } = envelope;
-        if to.is_some_and(|to| to != self.replica.id()) || from == self.replica.id() {
-            self.counters.add(Counter::ControlRefused, 1);
-            return;
-        }
-        self.learn_addr(from, &endpoint);
-        match message {
-            ControlMessage::Replica(message) => {
-                self.replica.handle_message(now, from, message, actions)
-            }
-            ControlMessage::Probe => {
-                self.replica.join(now, from, endpoint, actions);
-                let log_exists = self.replica.last().index > 0;
-                let leader = self.leader().cloned();
-                self.send(from, ControlMessage::ProbeReply { log_exists, leader }, out);
-            }
-            ControlMessage::ProbeReply { log_exists, leader } => {
-                if let Some(leader) = leader.filter(|leader| leader.addr != endpoint.addr) {
-                    let envelope = self.envelope(None, ControlMessage::Probe);
-                    out.push(ControlAction::Send { to: leader.addr, envelope });
-                }
-                self.bootstrap.record_reply(now, from, endpoint, log_exists);
-            }
-            ControlMessage::Forward { ticket, submission } => {
-                self.handle_forward(now, from, ticket, submission, actions, out);
-            }
-            ControlMessage::ForwardReply { ticket, result } => {
-                self.complete_forward(ticket, result, out)
-            }
-            ControlMessage::Report { ticket, progress } => {
-                self.handle_report(now, from, ticket, &progress, out);
-            }
-            ControlMessage::ReportAccepted { ticket, min_index } => {
-                self.handle_report_accepted(ticket, min_index, out)
-            }
-            ControlMessage::ReadIndexRequest { ticket } => {
-                self.start_read(now, ticket, Some(from), actions, out);
-            }
-            ControlMessage::ReadIndexReply { ticket, index } => {
-                self.record_read_index(ticket, index, out)
-            }
-        }
-    }
-
-    /// Applies committed entries, answers pending submissions, and takes a snapshot when one is
-    /// due.
-    fn apply_committed(
-        &mut self,
-        now: Time,
-        actions: &mut Vec<ReplicaAction>,
-        out: &mut Vec<ControlAction>,
-    ) {
-        self.detect_leader_change(now, out);
-        while self.applied < self.replica.commit_index() {
-            let index = self.applied + 1;
-            let Some(entry) = self.replica.entry(index) else {
-                if self.restore().is_err() {
-                    // The snapshot's checksum was valid, so a decoding failure is a bug.
-                    self.replica.halt();
-                    return;
-                }
-                continue;
-            };
-            let term = entry.term;
-            let outcome = match &entry.payload {
-                Payload::Change(change) => {
-                    let (outcome, was_applied) = self.machine.apply(change);
-                    self.uncompacted_bytes += change.command.approx_size();
-                    if was_applied {
-                        self.recent.push(change.command.clone());
-                    }
-                    Some(outcome)
-                }
-                _ => None,
-            };
-            self.applied = index;
-            self.complete_submission(index, term, outcome, out);
-        }
-        self.compact(actions);
-    }
-
-    fn compact(&mut self, actions: &mut Vec<ReplicaAction>) {
-        let last = self.replica.snapshot().last_entry.index;
-        let due = self.applied >= last + SNAPSHOT_INTERVAL_ENTRIES
-            || self.uncompacted_bytes >= SNAPSHOT_INTERVAL_BYTES;
-        if !due || self.replica.is_halted() {
-            return;
-        }
-        let keep = if self.uncompacted_bytes >= SNAPSHOT_INTERVAL_BYTES {
-            TRAILING_ENTRIES_LARGE
-        } else {
-            TRAILING_ENTRIES
-        };
-        self.uncompacted_bytes = 0;
-        if let Ok(data) = postcard::to_stdvec(&self.machine) {
-            self.counters.add(Counter::SnapshotsTaken, 1);
-            self.replica.compact(self.applied, data, keep, actions);
-        }
-    }
-
-    /// Restores the state machine from the replica's snapshot if the snapshot is newer.
-    fn restore(&mut self) -> Result<()> {
-        let snapshot = self.replica.snapshot();
-        if snapshot.last_entry.index <= self.applied {
-            return Ok(());
-        }
-        if !snapshot.data.is_empty() {
-            self.machine = postcard::from_bytes(&snapshot.data).map_err(|err| {
-                let message = format!(
-                    "cannot decode the snapshot ({err}); start the version that wrote it, or move the \
-                     data folder away"
-                );
-                Error::storage(message)
-            })?;
-        }
-        self.applied = snapshot.last_entry.index;
-        self.recent = RecentCommands::new(self.machine.state().index + 1);
-        Ok(())
-    }
-
-    fn learn_addr(&mut self, replica: ReplicaId, endpoint: &ControlEndpoint) {
-        /// Maximum number of learned addresses.
-        const MAX_LEARNED_ADDRS: usize = 64;
-        if self.learned_addrs.len() >= MAX_LEARNED_ADDRS
-            && !self.learned_addrs.contains_key(&replica)
-        {
-            self.learned_addrs.pop_first();
-        }
-        self.learned_addrs.insert(replica, endpoint.addr);
-    }
-
     fn envelope(&self, to: Option<ReplicaId>, message: ControlMessage) -> Envelope {
         Envelope { from: self.replica.id(), endpoint: self.endpoint.clone(), to, message }
     }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -20,10 +20,13 @@
 mod durable;
 mod elect;
 mod follow;
+mod found;
 mod lead;
 mod log;
 mod message;
+mod receive;
 mod sightings;
+mod view;
 
 use durable::WriteTracker;
 use lead::LeaderState;
@@ -241,134 +244,11 @@
         self.sightings.recent_vms(now)
     }
 
-    /// Returns the desired number of voters, or 0 if only configured control VMs become voters.
-    pub fn voter_count(&self) -> usize {
-        self.voter_count
-    }
-
-    /// Returns the id of this replica.
-    pub fn id(&self) -> ReplicaId {
-        self.id
-    }
-
-    /// Returns the latest term that this replica has seen.
-    pub fn term(&self) -> u64 {
-        self.hard_state.term
-    }
-
-    /// Returns the leader if it is known.
-    pub fn leader(&self) -> Option<ReplicaId> {
-        self.leader
-    }
-
-    /// Returns whether this replica is the leader.
-    pub fn is_leader(&self) -> bool {
-        matches!(self.role, Role::Leader(_))
-    }
-
-    /// Returns the latest membership in the log, committed or not.
-    pub fn members(&self) -> &Members {
-        &self.members
-    }
-
-    /// Returns whether this replica counts for a quorum, as far as it knows.
-    pub fn is_voter(&self) -> bool {
-        let is_settled = self.members_index <= self.commit_index;
-        self.members.voters.contains_key(&self.id) || !is_settled
-    }
-
-    /// Returns the last index known to be committed.
-    pub fn commit_index(&self) -> u64 {
-        self.commit_index
-    }
-
-    /// Returns the id of the last log entry.
-    pub fn last(&self) -> LogId {
-        self.log.last()
-    }
-
-    /// Returns the last log index synced to this replica's disk.
-    pub fn synced_index(&self) -> u64 {
-        self.writes.synced_index()
-    }
-
-    /// Returns the latest snapshot.
-    pub fn snapshot(&self) -> &Snapshot {
-        &self.snapshot
-    }
-
-    /// Returns the entry at `index`, or `None` if it is compacted or beyond the log.
-    pub fn entry(&self, index: u64) -> Option<&Entry> {
-        self.log.get(index)
-    }
-
-    /// Returns whether the replica is halted after a disk failure.
-    pub fn is_halted(&self) -> bool {
-        self.halted
-    }
-
-    /// Returns the match index of each other replica and the time at which it was last seen. Empty
-    /// unless this replica is the leader.
-    pub fn peer_progress(&self) -> Vec<(ReplicaId, u64, Time)> {
-        let Role::Leader(leader) = &self.role else { return Vec::new() };
-        leader
-            .peers
-            .iter()
-            .map(|(&replica, peer)| (replica, peer.match_index, peer.seen_at))
-            .collect()
-    }
-
-    /// Returns the time since when this replica is the leader if its lease is valid, so that no
-    /// other replica can be leader; otherwise `None`.
-    pub fn lease_start(&self, now: Time) -> Option<Time> {
-        let Role::Leader(leader) = &self.role else { return None };
-        let confirmed = leader.confirmed_at(now, self.id, &self.members);
-        let fresh = now.since(confirmed) < READ_LEASE;
-        (fresh && self.commit_index >= leader.term_start && !self.halted)
-            .then_some(leader.elected_at)
-    }
-
-    /// Returns whether this replica is a leader with a valid lease, or a follower that heard from
-    /// its leader lately.
-    pub fn is_in_contact(&self, now: Time) -> bool {
-        let heard = self.leader.is_some() && now.since(self.leader_heard) < self.contact_timeout();
-        if self.is_leader() { self.lease_start(now).is_some() } else { heard && !self.halted }
-    }
-
-    /// Returns how many more voters the log may lose now and still have a quorum. `None` if this replica
-    /// is not the leader.
-    pub fn margin(&self, now: Time) -> Option<usize> {
-        let Role::Leader(leader) = &self.role else { return None };
-        Some(leader.margin(now, self.id, &self.members))
-    }
-
-    /// Returns the latest time at which a quorum is known to have accepted this replica as leader.
-    /// `None` if it is not the leader or no entry of its term is committed yet.
-    pub fn leadership_confirmed(&self, now: Time) -> Option<Time> {
-        let Role::Leader(leader) = &self.role else { return None };
-        let known = self.commit_index >= leader.term_start && !self.halted;
-        known.then(|| leader.confirmed_at(now, self.id, &self.members))
-    }
-
     /// Sends a message to every replica, as the leader, to confirm its leadership.
     pub fn confirm_leadership(&mut self, now: Time, out: &mut Actions) {
         self.broadcast(now, out);
     }
 
-    /// Bootstraps a new log with `members` as its first entry.
-    ///
-    /// Does nothing if a log or snapshot exists.
-    pub fn bootstrap(&mut self, members: Members, out: &mut Actions) {
-        if self.last() != LogId::default() {
-            return;
-        }
-        let term = self.hard_state.term.max(1);
-        self.set_hard_state(HardState { term, ..self.hard_state }, out);
-        let entry = Entry { term, payload: Payload::Members(members) };
-        self.replace_suffix(1, vec![entry], out);
-        self.skip_timeout_if_alone(Time::ZERO);
-    }
-
     /// Handles the passing of time: heartbeats as the leader, election timeouts otherwise.
     pub fn handle_tick(&mut self, now: Time, out: &mut Actions) {
         if self.halted {
@@ -413,64 +293,6 @@
         self.leader = None;
     }
 
-    /// Handles a message from another replica.
-    pub fn handle_message(
-        &mut self,
-        now: Time,
-        from: ReplicaId,
-        message: ReplicaMessage,
-        out: &mut Actions,
-    ) {
-        if self.halted || from == self.id {
-            return;
-        }
-        match message {
-            ReplicaMessage::RequestVote { term, last_entry, pre_vote } => {
-                self.handle_vote_request(now, from, term, last_entry, pre_vote, out)
-            }
-            ReplicaMessage::VoteReply { term, granted, pre_vote } => {
-                self.handle_vote_reply(now, from, term, granted, pre_vote, out);
-            }
-            // Ignores messages of a leader that has stepped down, which were delayed.
-            ReplicaMessage::AppendEntries { .. } | ReplicaMessage::InstallSnapshot { .. }
-                if message.term() <= self.ended_term => {}
-            ReplicaMessage::AppendEntries { .. } | ReplicaMessage::InstallSnapshot { .. }
-                if message.term() < self.hard_state.term =>
-            {
-                let sent = Time::ZERO;
-                self.send(
-                    from,
-                    ReplicaMessage::AppendAccepted { term: self.hard_state.term, index: 0, sent },
-                    out,
-                )
-            }
-            ReplicaMessage::AppendEntries { term, prev, entries, commit, sent } => {
-                self.follow_sender(now, from, term, sent, out);
-                self.handle_append(from, prev, entries, commit, out);
-            }
-            ReplicaMessage::InstallSnapshot { term, snapshot, sent } => {
-                self.follow_sender(now, from, term, sent, out);
-                self.handle_snapshot(snapshot, out);
-            }
-            ReplicaMessage::StepDown { term } if self.is_leader() => {
-                self.handle_stopping(now, from, term, out);
-            }
-            ReplicaMessage::StepDown { term } => self.handle_step_down(now, from, term),
-            ReplicaMessage::AppendAccepted { term, .. }
-            | ReplicaMessage::AppendRejected { term, .. }
-                if term > self.hard_state.term =>
-            {
-                self.become_follower(now, term, None, out);
-            }
-            ReplicaMessage::AppendAccepted { term, index, sent } => {
-                self.handle_append_accepted(now, from, term, index, sent, out);
-            }
-            ReplicaMessage::AppendRejected { term, hint, sent } => {
-                self.handle_append_rejected(now, from, term, hint, sent, out);
-            }
-        }
-    }
-
     /// Appends an entry and returns its index, or `None` if this replica is not the leader.
     pub fn propose(&mut self, now: Time, payload: Payload, out: &mut Actions) -> Option<u64> {
         if !self.is_leader() {
@@ -575,23 +397,4 @@
             self.writes.hold(to, message);
         }
     }
-
-    /// Adopts the latest membership in the log, committed or not (Ongaro's thesis, 4.1).
-    fn update_members(&mut self) {
-        let found = self.log.iter_rev().find_map(|(index, entry)| match &entry.payload {
-            Payload::Members(members) => Some((index, members.clone())),
-            _ => None,
-        });
-        let base = (self.snapshot.last_entry.index, self.snapshot.members.clone());
-        (self.members_index, self.members) = found.unwrap_or(base);
-    }
-
-    fn members_at(&self, index: u64) -> Members {
-        let mut before = self.log.iter_rev().skip_while(|(at, _)| *at > index);
-        let found = before.find_map(|(_, entry)| match &entry.payload {
-            Payload::Members(members) => Some(members.clone()),
-            _ => None,
-        });
-        found.unwrap_or_else(|| self.snapshot.members.clone())
-    }
 }
--- a/src/control/replica/change.rs
+++ b/src/control/replica/change.rs
@@ -350,4 +350,23 @@
         let reason = format!("{} {why}, last seen {silent} ms ago", endpoint.name);
         Some((members, reason.into()))
     }
+
+    /// Adopts the latest membership in the log, committed or not (Ongaro's thesis, 4.1).
+    pub(super) fn update_members(&mut self) {
+        let found = self.log.iter_rev().find_map(|(index, entry)| match &entry.payload {
+            Payload::Members(members) => Some((index, members.clone())),
+            _ => None,
+        });
+        let base = (self.snapshot.last_entry.index, self.snapshot.members.clone());
+        (self.members_index, self.members) = found.unwrap_or(base);
+    }
+
+    pub(super) fn members_at(&self, index: u64) -> Members {
+        let mut before = self.log.iter_rev().skip_while(|(at, _)| *at > index);
+        let found = before.find_map(|(_, entry)| match &entry.payload {
+            Payload::Members(members) => Some(members.clone()),
+            _ => None,
+        });
+        found.unwrap_or_else(|| self.snapshot.members.clone())
+    }
 }
--- a/src/control/replica/elect.rs
+++ b/src/control/replica/elect.rs
@@ -6,7 +6,7 @@
     Actions, ELECTION_JITTER, ELECTION_TIMEOUT, MIN_RETRY_JITTER, RETRY_JITTER_FACTOR, Replica,
     Role, STEP_DOWN_JITTER_DIVISOR, STOP_INTERVAL,
     lead::LeaderState,
-    message::{Entry, HardState, LogId, Members, Payload, ReplicaId, ReplicaMessage},
+    message::{Entry, HardState, LogId, Payload, ReplicaId, ReplicaMessage},
 };
 use crate::time::Time;
 
@@ -35,47 +35,6 @@
         self.request_votes(term, false, out);
     }
 
-    /// Asks each voter of `members` to let this replica form the log with them.
-    ///
-    /// A quorum would not do, as a voter that lost its disk does not know what it has stored or
-    /// promised. One that grants its vote has no log, and accepts none of an earlier term later. So
-    /// a log that was formed before is on no disk but its founder's, and stays there.
-    ///
-    /// Returns whether it did so: there must be no log and no leader, and some time must have passed
-    /// since the last attempt and since it granted its vote.
-    pub(crate) fn found(&mut self, now: Time, members: Members, out: &mut Actions) -> bool {
-        let is_led = self.leader.is_some() || self.last() != LogId::default();
-        if is_led || self.halted || self.is_stopping() || now < self.election_deadline {
-            return false;
-        }
-        let (me, term) = (self.id, self.hard_state.term.saturating_add(1));
-        let voters: Vec<_> = members.voters.keys().copied().collect();
-        self.election_count += 1;
-        self.reset_election_deadline(now);
-        self.role = Role::Founder { members, granted: BTreeSet::new() };
-        self.set_hard_state(HardState { term, vote: Some(me) }, out);
-        for to in voters.into_iter().filter(|to| *to != me) {
-            let last_entry = LogId::default();
-            self.send(to, ReplicaMessage::RequestVote { term, last_entry, pre_vote: false }, out);
-        }
-        true
-    }
-
-    /// Records that a voter lets this replica form the log. Once all of them do, it forms the log and
-    /// leads.
-    pub(super) fn record_consent(&mut self, now: Time, from: ReplicaId, out: &mut Actions) {
-        let Role::Founder { members, granted } = &mut self.role else { return };
-        granted.insert(from);
-        if !members.voters.keys().all(|voter| granted.contains(voter)) {
-            return;
-        }
-        let members = members.clone();
-        let entry = Entry { term: self.hard_state.term, payload: Payload::Members(members) };
-        self.replace_suffix(1, vec![entry], out);
-        self.change_reason = Some((self.members_index, "all seeds agreed to form the log".into()));
-        self.become_leader(now, out);
-    }
-
     fn request_votes(&mut self, term: u64, pre_vote: bool, out: &mut Actions) {
         let last_entry = self.last();
         let me = self.id;
@@ -220,7 +179,7 @@
         self.election_deadline = now + jitter;
     }
 
-    fn become_leader(&mut self, now: Time, out: &mut Actions) {
+    pub(super) fn become_leader(&mut self, now: Time, out: &mut Actions) {
         let start = self.last().index + 1;
         self.role = Role::Leader(LeaderState::new(now, start));
         self.leader = Some(self.id);
