--- a/src/standin/replicas.rs
+++ b/src/standin/replicas.rs
@@ -143,6 +143,15 @@
         self.seeds = Some(seeds.map(endpoint).collect());
     }
 
+    /// Lets the running VMs read again which control VMs to contact first.
+    pub fn reload_seeds(&mut self) {
+        let Some(seeds) = &self.seeds else { return };
+        let seeds: BTreeSet<_> = seeds.values().copied().collect();
+        for node in self.vms.values_mut().filter_map(|vm| vm.node.as_mut()) {
+            node.set_seeds(seeds.clone());
+        }
+    }
+
     /// Adds and starts a VM that is not among the initial voters.
     pub fn add_observer(&mut self, name: &str, host: u8) {
         let addr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 0, 1, host)), CONTROL_PORT);
--- a/tests/log_life.rs
+++ b/tests/log_life.rs
@@ -20,6 +20,10 @@
 /// Longest time without an accepted order: after a change, the log may need 4 s before an order is
 /// accepted within 5 s.
 const MAX_PAUSE: Duration = Duration::from_secs(9);
+/// Longest time for which the seeds in the settings lag: longer than it takes to replace all of them.
+const MAX_LAG_MS: u64 = 120_000;
+/// Interval at which VMs read their settings again.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 /// Longest time that a stopping VM waits for its replacement.
 const STOP_TIME: Duration = Duration::from_secs(2);
 
@@ -34,12 +38,16 @@
     accepted: BTreeSet<Name>,
     last_accepted: Time,
     added: u8,
+    /// Whether the seeds in the settings lag, and when they are written and read next.
+    lags: bool,
+    write_due: Time,
+    read_due: Time,
     log: Vec<String>,
 }
 
 impl World {
     /// Starts a log of `voters` voters and one observer.
-    fn new(seed: u64, voters: u8) -> World {
+    fn new(seed: u64, voters: u8, lags: bool) -> World {
         let mut replicas = Replicas::new(seed, voters.min(3));
         replicas.set_voter_count(voters.into());
         let mut world = World {
@@ -51,6 +59,9 @@
             accepted: BTreeSet::new(),
             last_accepted: Time::ZERO,
             added: 0,
+            lags,
+            write_due: Time::ZERO,
+            read_due: Time::ZERO,
             log: Vec::new(),
         };
         let observers = voters + 1 - world.vms.len() as u8;
@@ -62,7 +73,25 @@
 
     /// Lets VMs that start find the others, as settings do that are written at each start.
     fn refresh_seeds(&mut self) {
-        self.replicas.set_seeds(self.vms.iter().take(3));
+        if !self.lags {
+            self.replicas.set_seeds(self.vms.iter().take(3));
+        }
+    }
+
+    /// Writes settings that lag when it is time for it; they may name VMs that have ended until then.
+    /// Now and then, VMs are told of it, and otherwise find out by themselves.
+    fn update_settings(&mut self) {
+        let now = self.replicas.now();
+        let mut is_told = false;
+        if now >= self.write_due {
+            self.write_due = now + self.span(0..MAX_LAG_MS);
+            self.replicas.set_seeds(self.vms.iter().take(2));
+            is_told = self.rng.random();
+        }
+        if is_told || now >= self.read_due {
+            self.read_due = now + RELOAD_INTERVAL;
+            self.replicas.reload_seeds();
+        }
     }
 
     fn add(&mut self) -> Name {
@@ -97,6 +126,9 @@
             let ticket = self.replicas.submit(&vm, Submission::new(command));
             self.sent.push((ticket, zone));
             self.replicas.run(STEP);
+            if self.lags {
+                self.update_settings();
+            }
             self.collect();
             let pause = self.replicas.now().since(self.last_accepted);
             if pause > MAX_PAUSE {
@@ -218,9 +250,9 @@
     }
 }
 
-fn play(seed: u64, voters: u8, kinds: std::ops::Range<u8>) {
+fn play(seed: u64, voters: u8, kinds: std::ops::Range<u8>, lags: bool) {
     println!("seed {seed}");
-    let mut world = World::new(seed, voters);
+    let mut world = World::new(seed, voters, lags);
     for _ in 0..EVENTS {
         world.play_event(kinds.clone());
         let gap = world.span(0..3_000);
@@ -240,12 +272,19 @@
 /// has ended.
 #[test]
 fn a_log_of_three_voters_bears_one_loss_at_a_time() {
-    seeds().for_each(|seed| play(seed, 3, RETURNING));
+    seeds().for_each(|seed| play(seed, 3, RETURNING, false));
 }
 
 /// Guards against a log that bears fewer losses than it should once a VM that ended for good has a
 /// successor.
 #[test]
 fn a_log_of_three_voters_bears_one_loss_after_an_end_for_good() {
-    seeds().for_each(|seed| play(seed, 3, ALL));
+    seeds().for_each(|seed| play(seed, 3, ALL, false));
+}
+
+/// Guards against the same while VMs start with settings of the past, which change with or without
+/// notice.
+#[test]
+fn a_log_of_three_voters_bears_settings_that_lag() {
+    seeds().for_each(|seed| play(seed, 3, ALL, true));
 }
